Lay the ground: layers, tool chain, transport and the contracts between the roles

Cause: the parts of the whole path can only be built side by side once the tables, the wire messages and the services between them are types.

The subcommands are listed but not built.

--- /dev/null
+++ b/build/lint/layers.js
@@ -0,0 +1,104 @@
+/**
+ * ESLint rule that keeps imports one-way between layers and features.
+ *
+ * A file lives at `src/<part>/<common|node>/...`, or `src/platform/<service>/<common|node>/...`.
+ * - A part imports itself and the parts listed for it in `allowedImports`.
+ * - A `common` folder imports only `common` folders and no Node.js module.
+ * - No file is named `index.ts`.
+ */
+import path from 'node:path';
+
+/** Which parts a part may import. Every part may import `base`. */
+export const allowedImports = {
+	base: [],
+	platform: [],
+	declarations: ['platform'],
+	protocol: ['platform', 'declarations'],
+	control: ['platform', 'declarations', 'protocol'],
+	replication: ['platform'],
+	keeper: ['platform', 'declarations', 'protocol', 'control', 'replication'],
+	entry: ['platform', 'declarations', 'protocol', 'control', 'burn'],
+	agent: ['platform', 'declarations', 'protocol', 'control'],
+	burn: ['platform', 'declarations'],
+	operator: ['platform', 'declarations', 'protocol', 'control', 'burn'],
+	standins: ['platform', 'declarations', 'protocol'],
+	proof: ['platform', 'declarations', 'protocol', 'control', 'standins'],
+	bench: ['platform', 'declarations', 'protocol', 'control', 'standins', 'proof', 'entry'],
+	code: [
+		'platform',
+		'declarations',
+		'protocol',
+		'control',
+		'replication',
+		'keeper',
+		'entry',
+		'agent',
+		'burn',
+		'operator',
+		'standins',
+		'proof',
+		'bench',
+	],
+};
+
+/** Splits a path below `src` into its part, its service (platform only), its environment and whether it is a test. */
+function locate(sourceRoot, file) {
+	const segments = path.relative(sourceRoot, file).split(path.sep);
+	const part = segments[0];
+	const inPlatform = part === 'platform';
+	const environment = inPlatform ? segments[2] : segments[1];
+	return { part, environment, isTest: segments.includes('test') };
+}
+
+/** @type {import('eslint').Rule.RuleModule} */
+export const layersRule = {
+	meta: { type: 'problem', schema: [], messages: { bad: '{{text}}' } },
+	create(context) {
+		const sourceRoot = path.join(context.cwd, 'src');
+		const from = locate(sourceRoot, context.filename);
+		const report = (node, text) => {
+			context.report({ node, messageId: 'bad', data: { text } });
+		};
+		const check = (node) => {
+			const specifier = node.source?.value;
+			if (typeof specifier !== 'string') {
+				return;
+			}
+			if (specifier.startsWith('node:')) {
+				if (from.environment === 'common' && !from.isTest) {
+					report(node, `A "common" module can't import "${specifier}"; move the code to a "node" folder.`);
+				}
+				return;
+			}
+			if (!specifier.startsWith('.')) {
+				return;
+			}
+			const target = locate(sourceRoot, path.resolve(path.dirname(context.filename), specifier));
+			if (from.environment === 'common' && target.environment === 'node' && !from.isTest) {
+				report(node, `A "common" module can't import the "node" module "${specifier}".`);
+			}
+			if (target.part === from.part || target.part === 'base') {
+				return;
+			}
+			if (!(allowedImports[from.part] ?? []).includes(target.part)) {
+				report(
+					node,
+					`"${from.part}" can't import "${target.part}"; the allowed imports are in build/lint/layers.js.`,
+				);
+			}
+		};
+		return {
+			Program(node) {
+				if (path.basename(context.filename) === 'index.ts') {
+					report(node, 'Index files are not used; name the file after its main type.');
+				}
+				if (!(from.part in allowedImports)) {
+					report(node, `"${from.part}" is not a known part; add it to build/lint/layers.js.`);
+				}
+			},
+			ImportDeclaration: check,
+			ExportNamedDeclaration: check,
+			ExportAllDeclaration: check,
+		};
+	},
+};
--- /dev/null
+++ b/src/base/common/disposable.ts
@@ -0,0 +1,89 @@
+/** Ownership of resources: everything that holds a socket, timer, file or listener is an {@link IDisposable}. */
+
+/** Something that holds a resource until `dispose` is called. A second call does nothing. */
+export interface IDisposable {
+	dispose(): void;
+}
+
+/**
+ * Wraps a function as a disposable that runs it at most once.
+ *
+ * @example
+ * const timer = setInterval(poll, 100);
+ * store.add(toDisposable(() => { clearInterval(timer); }));
+ */
+export function toDisposable(release: () => void): IDisposable {
+	let isDisposed = false;
+	return {
+		dispose: () => {
+			if (isDisposed) {
+				return;
+			}
+			isDisposed = true;
+			release();
+		},
+	};
+}
+
+/**
+ * Owns disposables and releases them together, the newest first.
+ *
+ * @example
+ * const store = new DisposableStore();
+ * const server = store.add(new FrameServer(options));
+ * store.dispose();
+ */
+export class DisposableStore implements IDisposable {
+	private readonly _members = new Set<IDisposable>();
+	private _isDisposed = false;
+
+	/** Whether {@link dispose} has run. */
+	get isDisposed(): boolean {
+		return this._isDisposed;
+	}
+
+	/** Takes ownership of a disposable and returns it. A store that is already disposed releases it at once. */
+	add<T extends IDisposable>(member: T): T {
+		if (this._isDisposed) {
+			member.dispose();
+			return member;
+		}
+		this._members.add(member);
+		return member;
+	}
+
+	/** Releases one member now and forgets it. */
+	delete(member: IDisposable): void {
+		if (this._members.delete(member)) {
+			member.dispose();
+		}
+	}
+
+	/** Releases every member, the newest first. */
+	dispose(): void {
+		this._isDisposed = true;
+		const members = [...this._members].reverse();
+		this._members.clear();
+		for (const member of members) {
+			member.dispose();
+		}
+	}
+}
+
+/** Base class for services that own resources; subclasses register them with `_register`. */
+export abstract class Disposable implements IDisposable {
+	private readonly _store = new DisposableStore();
+
+	/** Whether {@link dispose} has run. */
+	protected get _isDisposed(): boolean {
+		return this._store.isDisposed;
+	}
+
+	dispose(): void {
+		this._store.dispose();
+	}
+
+	protected _register<T extends IDisposable>(member: T): T {
+		return this._store.add(member);
+	}
+}
--- /dev/null
+++ b/src/code/node/main.ts
@@ -0,0 +1,28 @@
+#!/usr/bin/env node
+/** The one program: every role and every operator's command is a subcommand, loaded when it is used. */
+
+import { defineCommand, runMain } from 'citty';
+
+const main = defineCommand({
+	meta: { name: 'yuccaarch', version: '0.1.0', description: 'Dispatches sub-second tasks, once and whole.' },
+	subCommands: {
+		entry: () => import('./commands/entryCommand.js').then((module) => module.entryCommand),
+		agent: () => import('./commands/agentCommand.js').then((module) => module.agentCommand),
+		keeper: () => import('./commands/keeperCommand.js').then((module) => module.keeperCommand),
+		upstream: () => import('./commands/upstreamCommand.js').then((module) => module.upstreamCommand),
+		check: () => import('./commands/checkCommand.js').then((module) => module.checkCommand),
+		diff: () => import('./commands/diffCommand.js').then((module) => module.diffCommand),
+		apply: () => import('./commands/applyCommand.js').then((module) => module.applyCommand),
+		get: () => import('./commands/getCommand.js').then((module) => module.getCommand),
+		history: () => import('./commands/historyCommand.js').then((module) => module.historyCommand),
+		status: () => import('./commands/statusCommand.js').then((module) => module.statusCommand),
+		drain: () => import('./commands/drainCommand.js').then((module) => module.drainCommand),
+		burn: () => import('./commands/burnCommand.js').then((module) => module.burnCommand),
+		demo: () => import('./commands/demoCommand.js').then((module) => module.demoCommand),
+		bench: () => import('./commands/benchCommand.js').then((module) => module.benchCommand),
+		soak: () => import('./commands/soakCommand.js').then((module) => module.soakCommand),
+		slopes: () => import('./commands/slopesCommand.js').then((module) => module.slopesCommand),
+	},
+});
+
+await runMain(main);
--- /dev/null
+++ b/src/control/common/controlPlane.ts
@@ -0,0 +1,33 @@
+/** What entries and agents see of the keepers. Implemented by a client in `control/node`, and by fakes in tests. */
+
+import type { IDisposable } from '../../base/common/disposable.js';
+import type { Event } from '../../base/common/event.js';
+import type { Tables } from '../../declarations/common/tables.js';
+import type {
+	ClaimOutcome,
+	ClaimRequest,
+	EntryDirectory,
+	MemberStatus,
+} from '../../protocol/common/keeperMessages.js';
+
+/** The state that the keepers publish. */
+export interface ControlState {
+	readonly tables: Tables;
+	readonly directory: EntryDirectory;
+}
+
+/** A subscription to the keepers that moves to another keeper when one is lost, cut off or stale. */
+export interface IControlPlane extends IDisposable {
+	/** The newest state; its revision and epoch never go back. */
+	readonly state: ControlState;
+	/** Fires after each change of {@link state}. */
+	readonly onDidChangeState: Event<ControlState>;
+	/** Greatest possible age of {@link state}; infinite before the first snapshot. */
+	ageMs(): number;
+	/** Publishes what this process is; the revision in force is added by the implementation's caller. */
+	setStatus(status: MemberStatus): void;
+	/** Records a claim durably. Never rejects: what can't be told is `unknown`. */
+	claim(request: ClaimRequest, timeoutMs: number): Promise<ClaimOutcome>;
+	/** Takes back a claim of a submission of which no task has started. */
+	releaseClaim(request: ClaimRequest): void;
+}
--- /dev/null
+++ b/src/platform/settings/common/settingsSchema.ts
@@ -0,0 +1,55 @@
+/** Pieces of schemas that several settings files share. Each key has a description, which docs are checked against. */
+
+import { z } from 'zod';
+
+/** An IP number and a port, such as `127.0.0.1:7000`. */
+export const addressSchema = z
+	.string()
+	.regex(
+		/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
+		'Give an IP number and a port, such as "127.0.0.1:7000".',
+	);
+
+/** A name of a process, place, pool, route or team. */
+export const nameSchema = z
+	.string()
+	.regex(
+		/^[a-z0-9][a-z0-9-]{0,62}$/,
+		'Give 1 to 63 lower-case letters, digits and hyphens, starting with a letter or digit.',
+	);
+
+/** A time in whole milliseconds. */
+export const durationMsSchema = z.number().int().positive().max(86_400_000);
+
+/** How a process logs. */
+export const logSettingsSchema = z
+	.strictObject({
+		level: z
+			.enum(['debug', 'info', 'warn', 'error'])
+			.default('info')
+			.describe('Least severity that is logged.'),
+		format: z.enum(['json', 'text']).default('json').describe('JSON lines, or text for a terminal.'),
+	})
+	.prefault({});
+
+/** Where metrics are sent; nowhere by default. */
+export const metricsSettingsSchema = z
+	.strictObject({
+		address: addressSchema
+			.optional()
+			.describe('StatsD address for metrics over UDP; absent means that none are sent.'),
+	})
+	.prefault({});
+
+/** Keys that every daemon's settings have. */
+export const processSettingsShape = {
+	processId: nameSchema.describe('Name of this process, unique in the system.'),
+	dataCentre: nameSchema.describe('Data centre that the process runs in.'),
+	rack: nameSchema.default('rack-1').describe('Rack that the process runs in.'),
+	sharedSecret: z
+		.string()
+		.min(16)
+		.describe('Secret that the processes prove to each other; at least 16 characters.'),
+	log: logSettingsSchema,
+	metrics: metricsSettingsSchema,
+};
--- /dev/null
+++ b/src/platform/settings/node/loadSettings.ts
@@ -0,0 +1,51 @@
+/** Reads TOML files and checks them against a schema. */
+
+import { readFileSync } from 'node:fs';
+import { parse, TomlError } from 'smol-toml';
+import type { z } from 'zod';
+import { describeError } from '../../../base/common/errors.js';
+import { SettingsError } from '../common/settingsError.js';
+
+/**
+ * Reads one TOML file.
+ *
+ * @throws SettingsError naming the file, every faulty key, and the remedy
+ * @example
+ * const settings = loadSettings('entry.toml', entrySettingsSchema);
+ */
+export function loadSettings<T extends z.ZodType>(file: string, schema: T): z.output<T> {
+	return checkSettings(file, readToml(file), schema);
+}
+
+/** Checks a parsed file against a schema. See {@link loadSettings}. */
+export function checkSettings<T extends z.ZodType>(file: string, content: unknown, schema: T): z.output<T> {
+	const result = schema.safeParse(content);
+	if (result.success) {
+		return result.data;
+	}
+	const issues = result.error.issues.map((issue) => ({
+		file,
+		key: issue.path.join('.'),
+		message: issue.message,
+	}));
+	throw new SettingsError(issues);
+}
+
+/** Reads and parses one TOML file without checking its keys. */
+export function readToml(file: string): unknown {
+	let text: string;
+	try {
+		text = readFileSync(file, 'utf8');
+	} catch (error) {
+		throw new SettingsError([{ file, key: '', message: `The file can't be read: ${describeError(error)}.` }]);
+	}
+	try {
+		return parse(text);
+	} catch (error) {
+		if (error instanceof TomlError) {
+			const message = `Line ${error.line}, column ${error.column} is not valid TOML: ${describeError(error)}`;
+			throw new SettingsError([{ file, key: '', message }]);
+		}
+		throw error;
+	}
+}
--- /dev/null
+++ b/src/platform/transport/node/frameConnection.ts
@@ -0,0 +1,252 @@
+/** A connection over a TCP socket: handshake, frames, heartbeats and bounds. */
+
+import type { Socket } from 'node:net';
+import { describeError } from '../../../base/common/errors.js';
+import { Disposable, toDisposable } from '../../../base/common/disposable.js';
+import { Emitter } from '../../../base/common/event.js';
+import { FrameDecoder, FrameEncoder } from '../common/frameCodec.js';
+import {
+	TransportError,
+	type ConnectionLimits,
+	type IConnection,
+	type Message,
+	type PeerIdentity,
+} from '../common/transport.js';
+import {
+	createHello,
+	createProof,
+	isHello,
+	isProof,
+	isProofValid,
+	type HandshakeSide,
+	type HelloFrame,
+} from './handshake.js';
+
+/** What both ends of a connection need. */
+export interface ConnectionOptions {
+	readonly identity: PeerIdentity;
+	readonly secret: string;
+	readonly limits: ConnectionLimits;
+}
+
+const pingFrame: Message = { kind: 'ping' };
+
+/** One end of an authenticated connection. It becomes usable when {@link onDidOpen} fires. */
+export class FrameConnection extends Disposable implements IConnection {
+	private readonly _onDidOpen = this._register(new Emitter<undefined>());
+	/** Fires once when both sides have proven the secret. */
+	readonly onDidOpen = this._onDidOpen.event;
+
+	private readonly _onDidReceive = this._register(new Emitter<Message>());
+	readonly onDidReceive = this._onDidReceive.event;
+
+	private readonly _onDidClose = this._register(new Emitter<string>());
+	readonly onDidClose = this._onDidClose.event;
+
+	private readonly _encoder: FrameEncoder;
+	private readonly _decoder: FrameDecoder;
+	private readonly _hello: HelloFrame;
+	private _peerHello: HelloFrame | undefined;
+	private _isOpen = false;
+	private _isClosed = false;
+	private _isCorked = false;
+	private _lastReceivedMs = performance.now();
+	private _lastSentMs = performance.now();
+
+	constructor(
+		private readonly _socket: Socket,
+		private readonly _side: HandshakeSide,
+		private readonly _options: ConnectionOptions,
+	) {
+		super();
+		this._encoder = new FrameEncoder(_options.limits.maxFrameBytes);
+		this._decoder = new FrameDecoder(_options.limits.maxFrameBytes);
+		this._hello = createHello(_options.identity);
+		_socket.setNoDelay(true);
+		_socket.on('data', (chunk: Buffer) => {
+			this._receive(chunk);
+		});
+		_socket.on('error', (error) => {
+			this._close(describeError(error));
+		});
+		_socket.on('close', () => {
+			this._close('The peer closed the connection.');
+		});
+		this._watchLiveness();
+		this._write(this._hello);
+	}
+
+	get peer(): PeerIdentity {
+		if (this._peerHello === undefined) {
+			throw new TransportError('The peer of a connection is known only after the handshake.');
+		}
+		return this._peerHello.identity;
+	}
+
+	get isOpen(): boolean {
+		return this._isOpen && !this._isClosed;
+	}
+
+	send(message: Message): boolean {
+		if (!this.isOpen) {
+			return false;
+		}
+		return this._write(message);
+	}
+
+	end(): void {
+		if (this._isClosed) {
+			return;
+		}
+		this._socket.end();
+	}
+
+	override dispose(): void {
+		this._close('This process closed the connection.');
+		super.dispose();
+	}
+
+	private _watchLiveness(): void {
+		const { heartbeatIntervalMs, handshakeTimeoutMs } = this._options.limits;
+		const handshakeTimer = setTimeout(() => {
+			if (!this._isOpen) {
+				this._close(`The handshake did not end within ${handshakeTimeoutMs} ms.`);
+			}
+		}, handshakeTimeoutMs);
+		const heartbeatTimer = setInterval(() => {
+			this._beat();
+		}, heartbeatIntervalMs);
+		this._register(
+			toDisposable(() => {
+				clearTimeout(handshakeTimer);
+				clearInterval(heartbeatTimer);
+			}),
+		);
+	}
+
+	private _beat(): void {
+		if (!this.isOpen) {
+			return;
+		}
+		const nowMs = performance.now();
+		const { heartbeatIntervalMs, silenceTimeoutMs } = this._options.limits;
+		// A process that was itself stopped reads what has arrived before it judges its peer.
+		if (nowMs - this._lastReceivedMs > silenceTimeoutMs) {
+			setImmediate(() => {
+				this._closeIfSilent();
+			});
+		}
+		if (nowMs - this._lastSentMs >= heartbeatIntervalMs * 0.9) {
+			this._write(pingFrame);
+		}
+	}
+
+	private _closeIfSilent(): void {
+		const silenceMs = performance.now() - this._lastReceivedMs;
+		if (silenceMs > this._options.limits.silenceTimeoutMs) {
+			this._close(`The peer was silent for ${Math.round(silenceMs)} ms.`);
+		}
+	}
+
+	private _write(message: Message | HelloFrame): boolean {
+		if (this._isClosed) {
+			return false;
+		}
+		let frame: Buffer;
+		try {
+			frame = this._encoder.encode(message);
+		} catch (error) {
+			this._close(describeError(error));
+			return false;
+		}
+		this._corkForThisTurn();
+		this._socket.write(frame);
+		this._lastSentMs = performance.now();
+		if (this._socket.writableLength > this._options.limits.maxUnsentBytes) {
+			this._close(
+				`More than ${this._options.limits.maxUnsentBytes} bytes waited for a peer that stopped reading.`,
+			);
+		}
+		return true;
+	}
+
+	/** Joins the frames of one turn of the event loop into one write. */
+	private _corkForThisTurn(): void {
+		if (this._isCorked) {
+			return;
+		}
+		this._isCorked = true;
+		this._socket.cork();
+		process.nextTick(() => {
+			this._isCorked = false;
+			this._socket.uncork();
+		});
+	}
+
+	private _receive(chunk: Buffer): void {
+		if (this._isClosed) {
+			return;
+		}
+		this._lastReceivedMs = performance.now();
+		let frames: object[];
+		try {
+			frames = this._decoder.push(chunk);
+		} catch (error) {
+			this._close(describeError(error));
+			return;
+		}
+		for (const frame of frames) {
+			this._handle(frame);
+		}
+	}
+
+	private _handle(frame: object): void {
+		if (this._isClosed) {
+			return;
+		}
+		if (!this._isOpen) {
+			this._handleHandshake(frame);
+			return;
+		}
+		const message = frame as Partial<Message>;
+		if (typeof message.kind !== 'string') {
+			this._close('A frame without a kind was received.');
+			return;
+		}
+		if (message.kind !== pingFrame.kind) {
+			this._onDidReceive.fire(message as Message);
+		}
+	}
+
+	private _handleHandshake(frame: object): void {
+		const peerSide: HandshakeSide = this._side === 'client' ? 'server' : 'client';
+		if (this._peerHello === undefined) {
+			if (!isHello(frame)) {
+				this._close('The peer did not open with a hello of this protocol version.');
+				return;
+			}
+			this._peerHello = frame;
+			this._write(createProof(this._options.secret, this._side, this._hello, frame));
+			return;
+		}
+		if (
+			!isProof(frame) ||
+			!isProofValid(this._options.secret, peerSide, this._hello, this._peerHello, frame)
+		) {
+			this._close('The peer did not prove the shared secret; check the secret in its settings.');
+			return;
+		}
+		this._isOpen = true;
+		this._onDidOpen.fire(undefined);
+	}
+
+	private _close(reason: string): void {
+		if (this._isClosed) {
+			return;
+		}
+		this._isClosed = true;
+		this._socket.destroy();
+		this._onDidClose.fire(reason);
+		super.dispose();
+	}
+}
--- /dev/null
+++ b/src/platform/transport/node/frameConnector.ts
@@ -0,0 +1,73 @@
+/** Keeps one connection to an address open, with jittered backoff between attempts. */
+
+import { connect } from 'node:net';
+import { backoffMs, type BackoffOptions } from '../../../base/common/async.js';
+import { Disposable, toDisposable } from '../../../base/common/disposable.js';
+import { Emitter } from '../../../base/common/event.js';
+import type { IConnection, IConnector } from '../common/transport.js';
+import { parseAddress } from './address.js';
+import { FrameConnection, type ConnectionOptions } from './frameConnection.js';
+
+const reconnectBackoff: BackoffOptions = { firstMs: 50, maxMs: 1000 };
+
+/**
+ * Connects to an address until it is disposed.
+ *
+ * @example
+ * const connector = store.add(new FrameConnector('127.0.0.1:7000', options));
+ * connector.onDidConnect((connection) => connection.send({ kind: 'subscribe' }));
+ */
+export class FrameConnector extends Disposable implements IConnector {
+	private readonly _onDidConnect = this._register(new Emitter<IConnection>());
+	readonly onDidConnect = this._onDidConnect.event;
+
+	private readonly _onDidFail = this._register(new Emitter<string>());
+	/** Fires with the reason after each attempt that failed and each connection that was lost. */
+	readonly onDidFail = this._onDidFail.event;
+
+	private _current: FrameConnection | undefined;
+	private _failedAttempts = 0;
+	private _retryTimer: NodeJS.Timeout | undefined;
+
+	constructor(
+		readonly address: string,
+		private readonly _options: ConnectionOptions,
+	) {
+		super();
+		this._register(
+			toDisposable(() => {
+				clearTimeout(this._retryTimer);
+				this._current?.dispose();
+			}),
+		);
+		this._connect();
+	}
+
+	get connection(): IConnection | undefined {
+		return this._current?.isOpen === true ? this._current : undefined;
+	}
+
+	private _connect(): void {
+		const connection = new FrameConnection(connect(parseAddress(this.address)), 'client', this._options);
+		this._current = connection;
+		connection.onDidOpen(() => {
+			this._failedAttempts = 0;
+			this._onDidConnect.fire(connection);
+		});
+		connection.onDidClose((reason) => {
+			this._onDidFail.fire(reason);
+			this._scheduleRetry();
+		});
+	}
+
+	private _scheduleRetry(): void {
+		if (this._isDisposed) {
+			return;
+		}
+		const waitMs = backoffMs(reconnectBackoff, this._failedAttempts, Math.random);
+		this._failedAttempts += 1;
+		this._retryTimer = setTimeout(() => {
+			this._connect();
+		}, waitMs);
+	}
+}
--- /dev/null
+++ b/src/platform/transport/node/frameListener.ts
@@ -0,0 +1,77 @@
+/** Listens on a TCP address for the system's own processes. */
+
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { Disposable, toDisposable } from '../../../base/common/disposable.js';
+import { describeError } from '../../../base/common/errors.js';
+import { Emitter } from '../../../base/common/event.js';
+import { TransportError, type IConnection, type IListener } from '../common/transport.js';
+import { formatAddress, parseAddress } from './address.js';
+import { FrameConnection, type ConnectionOptions } from './frameConnection.js';
+
+/** Takes connections and hands out those whose peer proved the shared secret. */
+export class FrameListener extends Disposable implements IListener {
+	private readonly _onDidConnect = this._register(new Emitter<IConnection>());
+	readonly onDidConnect = this._onDidConnect.event;
+
+	private readonly _onDidRefuse = this._register(new Emitter<string>());
+	/** Fires with the reason when a connection ends before its handshake does. */
+	readonly onDidRefuse = this._onDidRefuse.event;
+
+	private readonly _connections = new Set<FrameConnection>();
+
+	private constructor(
+		server: Server,
+		readonly address: string,
+		private readonly _options: ConnectionOptions,
+	) {
+		super();
+		server.on('connection', (socket) => {
+			this._accept(socket);
+		});
+		this._register(
+			toDisposable(() => {
+				server.close();
+				for (const connection of [...this._connections]) {
+					connection.dispose();
+				}
+			}),
+		);
+	}
+
+	/**
+	 * Starts to listen.
+	 *
+	 * @param address IP number and port, such as `127.0.0.1:7000`; port 0 picks a free one
+	 * @throws TransportError when the address can't be bound
+	 * @example
+	 * const listener = await FrameListener.listen('127.0.0.1:0', options);
+	 */
+	static async listen(address: string, options: ConnectionOptions): Promise<FrameListener> {
+		const { host, port } = parseAddress(address);
+		const server = createServer({ noDelay: true });
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', (error) => {
+				reject(new TransportError(`The address ${address} can't be bound: ${describeError(error)}.`));
+			});
+			server.listen({ host, port }, resolve);
+		});
+		const bound = server.address() as AddressInfo;
+		return new FrameListener(server, formatAddress(bound.address, bound.port), options);
+	}
+
+	private _accept(socket: Socket): void {
+		const connection = new FrameConnection(socket, 'server', this._options);
+		this._connections.add(connection);
+		let hasOpened = false;
+		connection.onDidOpen(() => {
+			hasOpened = true;
+			this._onDidConnect.fire(connection);
+		});
+		connection.onDidClose((reason) => {
+			this._connections.delete(connection);
+			if (!hasOpened) {
+				this._onDidRefuse.fire(reason);
+			}
+		});
+	}
+}
--- /dev/null
+++ b/src/platform/transport/test/frameConnection.test.ts
@@ -0,0 +1,134 @@
+import test from 'ava';
+import { connect } from 'node:net';
+import { Deferred } from '../../../base/common/async.js';
+import { DisposableStore } from '../../../base/common/disposable.js';
+import { FrameDecoder, FrameEncoder, FrameError } from '../common/frameCodec.js';
+import {
+	defaultConnectionLimits,
+	type IConnection,
+	type Message,
+	type PeerIdentity,
+} from '../common/transport.js';
+import { parseAddress } from '../node/address.js';
+import type { ConnectionOptions } from '../node/frameConnection.js';
+import { FrameConnector } from '../node/frameConnector.js';
+import { FrameListener } from '../node/frameListener.js';
+
+const secret = 'a-secret-for-this-test';
+
+function optionsOf(role: PeerIdentity['role'], processId: string, ownSecret = secret): ConnectionOptions {
+	return {
+		identity: { role, processId, incarnation: 'run-1' },
+		secret: ownSecret,
+		limits: { ...defaultConnectionLimits, heartbeatIntervalMs: 20, silenceTimeoutMs: 400 },
+	};
+}
+
+test('frames survive being split at every byte', (t) => {
+	const encoder = new FrameEncoder(1000);
+	const messages = [{ kind: 'a', value: [1, 'two'] }, { kind: 'b' }, { kind: 'a', value: [3, 'four'] }];
+	const stream = Buffer.concat(messages.map((message) => encoder.encode(message)));
+	const decoder = new FrameDecoder(1000);
+	const decoded = [...stream].flatMap((byte) => decoder.push(Buffer.from([byte])));
+	t.deepEqual(decoded, messages);
+});
+
+test('a frame over the limit is refused by both ends', (t) => {
+	const message = { kind: 'long', text: 'x'.repeat(2000) };
+	t.throws(() => new FrameEncoder(1000).encode(message), { instanceOf: FrameError });
+	const frame = new FrameEncoder(10_000).encode(message);
+	t.throws(() => new FrameDecoder(1000).push(frame), { instanceOf: FrameError });
+});
+
+test('a frame that is not CBOR is refused', (t) => {
+	const decoder = new FrameDecoder(1000);
+	t.throws(() => decoder.push(Buffer.from([0, 0, 0, 2, 0xff, 0xff])), { instanceOf: FrameError });
+});
+
+test('peers exchange messages in order after proving the secret', async (t) => {
+	const store = new DisposableStore();
+	const listener = store.add(await FrameListener.listen('127.0.0.1:0', optionsOf('entry', 'entry-1')));
+	const received: Message[] = [];
+	const isDone = new Deferred<undefined>();
+	listener.onDidConnect((connection) => {
+		t.is(connection.peer.processId, 'agent-1');
+		connection.onDidReceive((message) => {
+			received.push(message);
+			if (received.length === 100) {
+				isDone.resolve(undefined);
+			}
+		});
+	});
+	const connector = store.add(new FrameConnector(listener.address, optionsOf('agent', 'agent-1')));
+	connector.onDidConnect((connection) => {
+		for (let index = 0; index < 100; index += 1) {
+			t.true(connection.send({ kind: `message-${index}` }));
+		}
+	});
+	await isDone.promise;
+	t.deepEqual(
+		received.map((message) => message.kind),
+		Array.from({ length: 100 }, (_, index) => `message-${index}`),
+	);
+	store.dispose();
+});
+
+test('a peer with another secret is refused by both sides', async (t) => {
+	const store = new DisposableStore();
+	const listener = store.add(await FrameListener.listen('127.0.0.1:0', optionsOf('entry', 'entry-1')));
+	listener.onDidConnect(() => {
+		t.fail('The listener let in a peer with another secret.');
+	});
+	const wrong = optionsOf('agent', 'agent-1', 'quite-another-secret');
+	const connector = store.add(new FrameConnector(listener.address, wrong));
+	connector.onDidConnect(() => {
+		t.fail('The connector opened a connection to a peer with another secret.');
+	});
+	const reason = new Deferred<string>();
+	listener.onDidRefuse((refusal) => {
+		reason.resolve(refusal);
+	});
+	t.regex(await reason.promise, /secret|closed/);
+	store.dispose();
+});
+
+test('the connector returns after the connection was lost', async (t) => {
+	const store = new DisposableStore();
+	const listener = store.add(await FrameListener.listen('127.0.0.1:0', optionsOf('entry', 'entry-1')));
+	const accepted: IConnection[] = [];
+	const isBack = new Deferred<undefined>();
+	listener.onDidConnect((connection) => {
+		accepted.push(connection);
+		if (accepted.length === 1) {
+			connection.dispose();
+			return;
+		}
+		isBack.resolve(undefined);
+	});
+	store.add(new FrameConnector(listener.address, optionsOf('agent', 'agent-1')));
+	await isBack.promise;
+	t.is(accepted.length, 2);
+	store.dispose();
+});
+
+test('a silent connection is closed and one that only beats stays open', async (t) => {
+	const store = new DisposableStore();
+	const listener = store.add(await FrameListener.listen('127.0.0.1:0', optionsOf('entry', 'entry-1')));
+	const refusal = new Deferred<string>();
+	listener.onDidRefuse((reason) => {
+		refusal.resolve(reason);
+	});
+	const opened = new Deferred<IConnection>();
+	listener.onDidConnect((connection) => {
+		opened.resolve(connection);
+	});
+	const limits = { ...defaultConnectionLimits, heartbeatIntervalMs: 20, silenceTimeoutMs: 400 };
+	store.add(new FrameConnector(listener.address, { ...optionsOf('agent', 'agent-1'), limits }));
+	const connection = await opened.promise;
+	const silent = connect(parseAddress(listener.address));
+	silent.on('error', () => undefined);
+	t.regex(await refusal.promise, /handshake/i);
+	t.true(connection.isOpen);
+	silent.destroy();
+	store.dispose();
+});
