--- a/src/code/node/commands/getCommand.ts
+++ b/src/code/node/commands/getCommand.ts
@@ -1,12 +1,27 @@
 /** `yuccaarch get`: Prints the tables that are in force. */
 
 import { defineCommand } from 'citty';
+import { operatorExitCodes } from '../../../operator/common/operatorExitCodes.js';
+import { describeTables } from '../../../operator/common/statusText.js';
+import { describeError } from '../../../operator/node/applyOperation.js';
+import { connectionArguments, runOperatorCommand } from '../operator/operatorArguments.js';
 
 /** The command's definition. */
 export const getCommand = defineCommand({
-	meta: { name: 'get', description: 'Prints the tables that are in force.' },
-	run: () => {
-		process.stderr.write('The command "get" is not built yet.\n');
-		process.exitCode = 1;
+	meta: {
+		name: 'get',
+		description:
+			'Prints the tables that are in force. Example: yuccaarch get --operator 127.0.0.1:7100 --token TOKEN',
+	},
+	args: connectionArguments,
+	run: async ({ args }) => {
+		await runOperatorCommand(args, async (client) => {
+			const read = await client.tables();
+			if (read.isErr()) {
+				return describeError(read.error);
+			}
+			const { tables } = read.value;
+			return { exitCode: operatorExitCodes.noChange, text: describeTables(tables), json: read.value };
+		});
 	},
 });
--- a/src/code/node/commands/keeperCommand.ts
+++ b/src/code/node/commands/keeperCommand.ts
@@ -1,12 +1,70 @@
 /** `yuccaarch keeper`: Runs a keeper, which stores the tables and claims. */
 
+import { randomUUID } from 'node:crypto';
 import { defineCommand } from 'citty';
+import { monotonicClock } from '../../../base/common/clock.js';
+import { keeperSettingsSchema, type KeeperSettings } from '../../../keeper/common/keeperSettings.js';
+import { KeeperDaemon, type OpenKeeperLog } from '../../../keeper/node/keeperDaemon.js';
+import { reportSettingsError, runDaemon } from '../../../platform/daemon/node/daemon.js';
+import type { ILogService } from '../../../platform/log/common/log.js';
+import { ConsolaLogService } from '../../../platform/log/node/consolaLogService.js';
+import { loadSettings } from '../../../platform/settings/node/loadSettings.js';
+import { defaultConnectionLimits, type PeerIdentity } from '../../../platform/transport/common/transport.js';
+import { ReplicatedLog } from '../../../replication/node/replicatedLog.js';
+
+/** Time that a drain may take: the hand-over of the lead and of the subscribers. */
+const drainTimeoutMs = 10_000;
 
 /** The command's definition. */
 export const keeperCommand = defineCommand({
-	meta: { name: 'keeper', description: 'Runs a keeper, which stores the tables and claims.' },
-	run: () => {
-		process.stderr.write('The command "keeper" is not built yet.\n');
-		process.exitCode = 1;
+	meta: {
+		name: 'keeper',
+		description: 'Runs a keeper, which stores the tables and claims. Example: yuccaarch keeper keeper-1.toml',
+	},
+	args: { settings: { type: 'positional', required: true, description: "The keeper's settings file." } },
+	run: async ({ args }) => {
+		try {
+			await runKeeper(loadSettings(args.settings, keeperSettingsSchema));
+		} catch (error) {
+			reportSettingsError(error);
+		}
 	},
 });
+
+async function runKeeper(settings: KeeperSettings): Promise<void> {
+	const { processId } = settings;
+	const log = new ConsolaLogService({ role: 'keeper', instance: processId }, settings.log);
+	const identity: PeerIdentity = { role: 'keeper', processId, incarnation: randomUUID() };
+	await runDaemon({
+		log,
+		drainTimeoutMs,
+		start: async () => {
+			const keeper = await KeeperDaemon.start({
+				settings,
+				identity,
+				events: log,
+				openLog: createOpenLog(settings, identity, log),
+			});
+			const { peerAddress, operatorAddress } = keeper;
+			log.info('process.ready', { peerAddress, operatorAddress });
+			return keeper;
+		},
+	});
+}
+
+function createOpenLog(settings: KeeperSettings, identity: PeerIdentity, log: ILogService): OpenKeeperLog {
+	return (stateMachine, boundAddress) =>
+		ReplicatedLog.open({
+			dataFolder: settings.dataFolder,
+			processId: settings.processId,
+			address: boundAddress,
+			initialMembers: settings.members,
+			stateMachine,
+			connection: { identity, secret: settings.sharedSecret, limits: defaultConnectionLimits },
+			electionTimeoutMs: settings.electionTimeoutMs,
+			heartbeatIntervalMs: settings.heartbeatIntervalMs,
+			clock: monotonicClock,
+			log,
+			random: Math.random,
+		});
+}
--- /dev/null
+++ b/src/control/common/controlStateStore.ts
@@ -0,0 +1,125 @@
+/** A subscriber's copy of the keepers' state: it takes only newer state, and knows how old it can be. */
+
+import { match } from 'ts-pattern';
+import { applyEdits } from '../../declarations/common/tableEdits.js';
+import { emptyTables, type TableDelta, type Tables } from '../../declarations/common/tables.js';
+import type {
+	ControlDeltaMessage,
+	ControlFreshnessMessage,
+	ControlSnapshotMessage,
+	EntryDirectory,
+} from '../../protocol/common/keeperMessages.js';
+import type { ControlState } from './controlPlane.js';
+
+/** A message that carries state or its freshness. */
+export type StateMessage = ControlSnapshotMessage | ControlDeltaMessage | ControlFreshnessMessage;
+
+/** What a message did. */
+export type TakeResult =
+	/** The state has changed. */
+	| 'changed'
+	/** The message held nothing newer. */
+	| 'current'
+	/** Changes are missing before the ones in the message; the whole state must be asked for. */
+	| 'gap'
+	/** The keeper's history is another one, and nothing in it is known to be newer. */
+	| 'otherHistory';
+
+/** Holds the newest state. Revision and epoch never go back. */
+export class ControlStateStore {
+	private _state: ControlState = { tables: emptyTables, directory: { epoch: 0, entries: [] } };
+	private _historyId: string | undefined;
+	private _confirmedAtMs = -Infinity;
+
+	get state(): ControlState {
+		return this._state;
+	}
+
+	/** History that the state belongs to; undefined before the first snapshot. */
+	get historyId(): string | undefined {
+		return this._historyId;
+	}
+
+	/** Time, by the own clock, at which the state surely held everything that was committed. */
+	get confirmedAtMs(): number {
+		return this._confirmedAtMs;
+	}
+
+	/**
+	 * Takes a message.
+	 *
+	 * @param probeSentAtMs own clock when the probe in the message was sent; undefined when it isn't known
+	 * @example
+	 * if (store.take(message, probes.get(message.probe)) === 'gap') { subscribeAgain(); }
+	 */
+	take(message: StateMessage, probeSentAtMs: number | undefined): TakeResult {
+		const result = match(message)
+			.with({ kind: 'controlSnapshot' }, (snapshot) => this._takeSnapshot(snapshot))
+			.with({ kind: 'controlDelta' }, (delta) => this._takeDelta(delta))
+			.with({ kind: 'controlFreshness' }, (freshness) => this._takeFreshness(freshness))
+			.exhaustive();
+		const isUpToDate = result === 'changed' || result === 'current';
+		if (isUpToDate && probeSentAtMs !== undefined && Number.isFinite(message.ageMs)) {
+			this._confirmedAtMs = Math.max(this._confirmedAtMs, probeSentAtMs - message.ageMs);
+		}
+		return result;
+	}
+
+	private _takeSnapshot({ historyId, tables, directory }: ControlSnapshotMessage): TakeResult {
+		const isSameHistory = this._historyId === undefined || this._historyId === historyId;
+		if (!isSameHistory && !this._isNewer(tables, directory)) {
+			return 'otherHistory';
+		}
+		this._historyId = historyId;
+		return this._setNewer(tables, directory);
+	}
+
+	private _takeDelta({ historyId, deltas, directory }: ControlDeltaMessage): TakeResult {
+		if (historyId !== this._historyId) {
+			return 'otherHistory';
+		}
+		const tables = applyDeltas(this._state.tables, deltas);
+		if (tables === undefined) {
+			return 'gap';
+		}
+		return this._setNewer(tables, directory ?? this._state.directory);
+	}
+
+	private _takeFreshness({ historyId, revision, epoch }: ControlFreshnessMessage): TakeResult {
+		if (historyId !== this._historyId) {
+			return 'otherHistory';
+		}
+		const isBehind = this._state.tables.revision < revision || this._state.directory.epoch < epoch;
+		return isBehind ? 'gap' : 'current';
+	}
+
+	private _isNewer(tables: Tables, directory: EntryDirectory): boolean {
+		return tables.revision > this._state.tables.revision && directory.epoch > this._state.directory.epoch;
+	}
+
+	private _setNewer(tables: Tables, directory: EntryDirectory): TakeResult {
+		const newer: ControlState = {
+			tables: tables.revision > this._state.tables.revision ? tables : this._state.tables,
+			directory: directory.epoch > this._state.directory.epoch ? directory : this._state.directory,
+		};
+		if (newer.tables === this._state.tables && newer.directory === this._state.directory) {
+			return 'current';
+		}
+		this._state = newer;
+		return 'changed';
+	}
+}
+
+/** Applies the deltas that follow the tables; undefined when one before them is missing. */
+function applyDeltas(tables: Tables, deltas: readonly TableDelta[]): Tables | undefined {
+	let present = tables;
+	for (const delta of deltas) {
+		if (delta.revision > present.revision + 1) {
+			return undefined;
+		}
+		if (delta.revision === present.revision + 1) {
+			present = applyEdits(present, delta.edits);
+		}
+	}
+	return present;
+}
--- /dev/null
+++ b/src/declarations/common/declaration.ts
@@ -0,0 +1,78 @@
+/** A declaration: the routes, pools and teams that operators keep in version control. */
+
+import { z } from 'zod';
+import { nameSchema } from '../../platform/settings/common/settingsSchema.js';
+import { SettingsError, type SettingsIssue } from '../../platform/settings/common/settingsError.js';
+import { findTableFaults, type DeclaredTables } from './tableEdits.js';
+import { poolSchema, routeSchema, teamSchema } from './tableSchemas.js';
+import { emptyTables } from './tables.js';
+
+/** Schema of a declaration file: `[pools.NAME]`, `[routes.NAME]` and `[teams.NAME]`. */
+export const declarationSchema = z.strictObject({
+	pools: z.record(nameSchema, poolSchema).prefault({}),
+	routes: z.record(nameSchema, routeSchema).prefault({}),
+	teams: z.record(nameSchema, teamSchema).prefault({}),
+});
+
+/** One declaration file, checked. */
+export type Declaration = z.output<typeof declarationSchema>;
+
+/** A declaration and the file that it came from. */
+export interface DeclarationFile {
+	readonly file: string;
+	readonly declaration: Declaration;
+}
+
+/**
+ * Joins declaration files into the tables that they declare together.
+ *
+ * @throws SettingsError when a name is declared twice or a rule between tables is broken
+ * @example
+ * const declared = joinDeclarations([loadDeclaration('registro.toml'), loadDeclaration('citacion.toml')]);
+ */
+export function joinDeclarations(files: readonly DeclarationFile[]): DeclaredTables {
+	const issues: SettingsIssue[] = [];
+	const declared: DeclaredTables = {
+		pools: joinRows(files, 'pools', issues),
+		routes: joinRows(files, 'routes', issues),
+		teams: joinRows(files, 'teams', issues),
+	};
+	const allFiles = files.map(({ file }) => file).join(', ');
+	for (const fault of findTableFaults({ ...emptyTables, ...declared })) {
+		const source = files.find(({ declaration }) => fault.row in declaration.routes)?.file ?? allFiles;
+		issues.push({
+			file: source,
+			key: `${fault.table}.${fault.row}.${fault.field}`,
+			message: fault.message,
+		});
+	}
+	if (issues.length > 0) {
+		throw new SettingsError(issues);
+	}
+	return declared;
+}
+
+function joinRows<Name extends keyof Declaration>(
+	files: readonly DeclarationFile[],
+	table: Name,
+	issues: SettingsIssue[],
+): (Declaration[Name][string] & { name: string })[] {
+	const sources = new Map<string, string>();
+	const rows: (Declaration[Name][string] & { name: string })[] = [];
+	for (const { file, declaration } of files) {
+		for (const [name, fields] of Object.entries(declaration[table]) as [
+			string,
+			Declaration[Name][string],
+		][]) {
+			const first = sources.get(name);
+			if (first !== undefined) {
+				const message = `"${name}" is declared in ${first} already. Keep it in one file only.`;
+				issues.push({ file, key: `${table}.${name}`, message });
+				continue;
+			}
+			sources.set(name, file);
+			rows.push({ name, ...fields });
+		}
+	}
+	return rows.sort((a, b) => (a.name < b.name ? -1 : 1));
+}
--- /dev/null
+++ b/src/declarations/common/tableEdits.ts
@@ -0,0 +1,160 @@
+/** Pure operations on tables: applying edits, comparing, and the rules that join one table to another. */
+
+import type { DeleteEdit, PutEdit, TableEdit, TableName, TableRows, Tables } from './tables.js';
+
+/** Names of all tables, in the order in which a plan lists them: what is joined to comes first. */
+export const tableNames = ['pools', 'routes', 'teams', 'drains'] as const satisfies readonly TableName[];
+
+/** A rule that an edit would break. */
+export interface TableFault {
+	readonly table: TableName;
+	readonly row: string;
+	readonly field: string;
+	/** Whole sentences with the value and the remedy. */
+	readonly message: string;
+}
+
+/** Name of the row that an edit is about. */
+export function editedName(edit: TableEdit): string {
+	return edit.action === 'put' ? edit.row.name : edit.name;
+}
+
+/**
+ * Returns the tables after edits, with their revision one higher. Later edits of the same row win.
+ *
+ * @example
+ * applyEdits(emptyTables, [{ action: 'put', table: 'pools', row: ledgerPool }]).revision; // 1
+ */
+export function applyEdits(tables: Tables, edits: readonly TableEdit[]): Tables {
+	return {
+		revision: tables.revision + 1,
+		routes: editRows('routes', tables.routes, edits),
+		pools: editRows('pools', tables.pools, edits),
+		teams: editRows('teams', tables.teams, edits),
+		drains: editRows('drains', tables.drains, edits),
+	};
+}
+
+function editRows<Name extends TableName>(
+	table: Name,
+	rows: readonly TableRows[Name][],
+	edits: readonly TableEdit[],
+): readonly TableRows[Name][] {
+	const concerned = edits.filter((edit) => edit.table === table);
+	if (concerned.length === 0) {
+		return rows;
+	}
+	const byName = new Map(rows.map((row) => [row.name, row]));
+	for (const edit of concerned) {
+		if (edit.action === 'put') {
+			byName.set(edit.row.name, edit.row as TableRows[Name]);
+		} else {
+			byName.delete(edit.name);
+		}
+	}
+	return [...byName.values()].sort((a, b) => (a.name < b.name ? -1 : 1));
+}
+
+/**
+ * Finds the rules that tables break: a route joined to no pool, and deadlines that contradict each other.
+ *
+ * @example
+ * findTableFaults(applyEdits(tables, edits)).map((fault) => fault.message);
+ */
+export function findTableFaults(tables: Tables): TableFault[] {
+	const pools = new Set(tables.pools.map((pool) => pool.name));
+	const faults: TableFault[] = [];
+	for (const route of tables.routes) {
+		if (!pools.has(route.pool)) {
+			faults.push({
+				table: 'routes',
+				row: route.name,
+				field: 'pool',
+				message:
+					`The route "${route.name}" names the pool "${route.pool}", which does not exist. ` +
+					`Declare the pool "${route.pool}", or join the route to another pool.`,
+			});
+		}
+		if (route.defaultDeadlineMs > route.maxDeadlineMs) {
+			faults.push({
+				table: 'routes',
+				row: route.name,
+				field: 'defaultDeadlineMs',
+				message:
+					`The route "${route.name}" has a default deadline of ${route.defaultDeadlineMs} ms, which is ` +
+					`beyond its longest deadline of ${route.maxDeadlineMs} ms. Lower the one or raise the other.`,
+			});
+		}
+	}
+	return faults;
+}
+
+/** The tables that a declaration gives in full; drains are set by command and are no part of it. */
+export type DeclaredTables = Pick<Tables, 'routes' | 'pools' | 'teams'>;
+
+/**
+ * Returns the edits that lead from the present tables to the declared ones; none when they are equal.
+ *
+ * @example
+ * const edits = diffTables(present, declared);
+ */
+export function diffTables(present: Tables, declared: DeclaredTables): TableEdit[] {
+	return [
+		...diffRows('pools', present.pools, declared.pools),
+		...diffRows('routes', present.routes, declared.routes),
+		...diffRows('teams', present.teams, declared.teams),
+	];
+}
+
+function diffRows<Name extends 'routes' | 'pools' | 'teams'>(
+	table: Name,
+	present: readonly TableRows[Name][],
+	declared: readonly TableRows[Name][],
+): TableEdit[] {
+	const presentByName = new Map(present.map((row) => [row.name, row]));
+	const declaredNames = new Set(declared.map((row) => row.name));
+	const puts = declared
+		.filter((row) => changedFields(presentByName.get(row.name), row).length > 0)
+		.map((row) => ({ action: 'put', table, row }) as PutEdit);
+	const deletes = present
+		.filter((row) => !declaredNames.has(row.name))
+		.map((row): DeleteEdit => ({ action: 'delete', table, name: row.name }));
+	return [...puts, ...deletes];
+}
+
+/** A field that differs between two versions of a row. */
+export interface FieldChange {
+	/** Path of the field, such as `objectives.answeredWithinMs`. */
+	readonly field: string;
+	readonly before: unknown;
+	readonly after: unknown;
+}
+
+/**
+ * Lists the fields that differ between two versions of a row; all fields when there was none before.
+ *
+ * @example
+ * changedFields({ name: 'a', weight: 1 }, { name: 'a', weight: 2 }); // [{ field: 'weight', before: 1, after: 2 }]
+ */
+export function changedFields(before: object | undefined, after: object): FieldChange[] {
+	const beforeFields = flatten(before ?? {});
+	const afterFields = flatten(after);
+	const fields = new Set([...beforeFields.keys(), ...afterFields.keys()]);
+	return [...fields]
+		.map((field) => ({ field, before: beforeFields.get(field), after: afterFields.get(field) }))
+		.filter((change) => change.before !== change.after);
+}
+
+function flatten(value: object, prefix = ''): Map<string, unknown> {
+	const fields = new Map<string, unknown>();
+	for (const [key, member] of Object.entries(value) as [string, unknown][]) {
+		if (typeof member === 'object' && member !== null) {
+			for (const [field, leaf] of flatten(member, `${prefix}${key}.`)) {
+				fields.set(field, leaf);
+			}
+		} else {
+			fields.set(`${prefix}${key}`, member);
+		}
+	}
+	return fields;
+}
--- /dev/null
+++ b/src/declarations/node/loadDeclaration.ts
@@ -0,0 +1,21 @@
+/** Reads declaration files. */
+
+import { loadSettings } from '../../platform/settings/node/loadSettings.js';
+import { declarationSchema, joinDeclarations, type DeclarationFile } from '../common/declaration.js';
+import type { DeclaredTables } from '../common/tableEdits.js';
+
+/**
+ * Reads one declaration file.
+ *
+ * @throws SettingsError naming the file, every faulty key, and the remedy
+ * @example
+ * loadDeclaration('examples/citacion-clara.toml').declaration.routes;
+ */
+export function loadDeclaration(file: string): DeclarationFile {
+	return { file, declaration: loadSettings(file, declarationSchema) };
+}
+
+/** Reads declaration files and joins them. See {@link loadDeclaration} and {@link joinDeclarations}. */
+export function loadDeclaredTables(files: readonly string[]): DeclaredTables {
+	return joinDeclarations(files.map(loadDeclaration));
+}
--- /dev/null
+++ b/src/keeper/common/systemStatus.ts
@@ -0,0 +1,80 @@
+/** Describes the system as one keeper knows it, for operators. */
+
+import type { ProcessStatus, SystemStatus } from '../../protocol/common/operatorApi.js';
+import type { ReplicaStatus } from '../../replication/common/replicatedLog.js';
+import type { KeeperStateMachine } from './keeperStateMachine.js';
+import { memberMemoryMs, type KnownProcess } from './memberRegistry.js';
+
+/** A keeper that does not report about its subscribers. */
+export interface SilentKeeper {
+	readonly processId: string;
+	/** Time since its last report; infinite when there was none. */
+	readonly silentForMs: number;
+}
+
+/** What a description depends on. */
+export interface SystemInputs {
+	readonly keeperId: string;
+	readonly replica: ReplicaStatus;
+	readonly machine: KeeperStateMachine;
+	readonly ageMs: number | undefined;
+	readonly processes: readonly KnownProcess[];
+	readonly silentKeepers: readonly SilentKeeper[];
+	/** Time since this keeper started. */
+	readonly upForMs: number;
+	/** Whether this keeper started without any state, so that no process can have older tables from it. */
+	readonly startedEmpty: boolean;
+	readonly nowMs: number;
+}
+
+/** Describes the system for the operators' interface. */
+export function describeSystem(inputs: SystemInputs): SystemStatus {
+	const { replica, machine, nowMs } = inputs;
+	return {
+		keeperId: inputs.keeperId,
+		role: replica.role,
+		term: replica.term,
+		leaderId: replica.leaderId,
+		commitIndex: replica.commitIndex,
+		appliedIndex: replica.appliedIndex,
+		ageMs: inputs.ageMs,
+		historyId: machine.historyId,
+		revision: machine.tables.tables.revision,
+		claims: machine.claimCount,
+		directory: machine.directory,
+		members: replica.members,
+		processes: inputs.processes
+			.filter((process) => !process.hasLeft)
+			.map((process) => describeProcess(process, nowMs)),
+		silentKeepers: inputs.silentKeepers.map((keeper) => keeper.processId),
+		isSettled: isSettled(inputs),
+	};
+}
+
+/**
+ * Whether every process that may still work with older tables is known. The subscribers of a keeper that is silent
+ * for longer than processes are remembered have moved by then, or refuse work because their tables are too old.
+ */
+function isSettled(inputs: SystemInputs): boolean {
+	if (inputs.upForMs <= memberMemoryMs) {
+		return inputs.startedEmpty && inputs.silentKeepers.length === 0;
+	}
+	return inputs.silentKeepers.every((keeper) => keeper.silentForMs > memberMemoryMs);
+}
+
+function describeProcess(process: KnownProcess, nowMs: number): ProcessStatus {
+	const { processId, role, incarnation, keeperId, status, isLive } = process;
+	return {
+		processId,
+		role,
+		incarnation,
+		dataCentre: status.dataCentre,
+		rack: status.rack,
+		isDraining: status.isDraining,
+		pool: status.offer?.pool,
+		keeperId,
+		revisionInForce: status.revisionInForce,
+		heardAgoMs: Math.round(nowMs - process.heardAtMs),
+		isLive,
+	};
+}
--- /dev/null
+++ b/src/keeper/node/keeperDaemon.ts
@@ -0,0 +1,300 @@
+/** A keeper: the replicated log, the subscribers, the other keepers' reports, and the operators' interface. */
+
+import { monotonicClock, type IClock } from '../../base/common/clock.js';
+import { Disposable } from '../../base/common/disposable.js';
+import type { IDaemon } from '../../platform/daemon/node/daemon.js';
+import type { ILogService } from '../../platform/log/common/log.js';
+import {
+	defaultConnectionLimits,
+	type ConnectionLimits,
+	type IConnection,
+	type PeerIdentity,
+} from '../../platform/transport/common/transport.js';
+import { FrameListener } from '../../platform/transport/node/frameListener.js';
+import type { MemberStatus } from '../../protocol/common/keeperMessages.js';
+import type { SystemStatus } from '../../protocol/common/operatorApi.js';
+import type { IReplicatedLog } from '../../replication/common/replicatedLog.js';
+import type { KeeperSettings } from '../common/keeperSettings.js';
+import { KeeperStateMachine } from '../common/keeperStateMachine.js';
+import { MemberRegistry } from '../common/memberRegistry.js';
+import { describeSystem } from '../common/systemStatus.js';
+import { ClaimBatcher } from './claimBatcher.js';
+import { LeaderDuties } from './leaderDuties.js';
+import { OperatorServer } from './operatorServer.js';
+import { ReportExchange } from './reportExchange.js';
+import { SubscriptionService } from './subscriptionService.js';
+
+/** A replicated log that also takes connections from the other keepers. */
+export interface IKeeperLog extends IReplicatedLog {
+	/** Takes a connection from another keeper's log. */
+	acceptPeer(connection: IConnection): void;
+}
+
+/** Opens the log over a state machine, once the keeper's own address is bound. */
+export type OpenKeeperLog = (machine: KeeperStateMachine, peerAddress: string) => Promise<IKeeperLog>;
+
+/** What a keeper is started with. */
+export interface KeeperOptions {
+	readonly settings: KeeperSettings;
+	readonly identity: PeerIdentity;
+	readonly events: ILogService;
+	readonly openLog: OpenKeeperLog;
+	readonly limits?: ConnectionLimits;
+	readonly clock?: IClock;
+}
+
+/** Time that the hand-over of the lead may take in a drain. */
+const transferTimeoutMs = 1000;
+
+/** Time that subscribers have, in a drain, to move to another keeper. */
+const moveTimeoutMs = 1500;
+
+/** Time between looks at whether the keeper's own revision in force has changed. */
+const ownStatusIntervalMs = 200;
+
+/** A running keeper. */
+export class KeeperDaemon extends Disposable implements IDaemon {
+	private readonly _registry = new MemberRegistry();
+	private readonly _startedAtMs: number;
+	private readonly _startedEmpty: boolean;
+	private readonly _clock: IClock;
+	private readonly _claims: ClaimBatcher;
+	private readonly _subscriptions: SubscriptionService;
+	private readonly _reports: ReportExchange;
+	private _operators: OperatorServer | undefined;
+	private _ownStatus: MemberStatus;
+
+	private constructor(
+		private readonly _options: KeeperOptions,
+		private readonly _machine: KeeperStateMachine,
+		private readonly _listener: FrameListener,
+		private readonly _log: IKeeperLog,
+		limits: ConnectionLimits,
+	) {
+		super();
+		const { settings, identity, events } = _options;
+		const clock = _options.clock ?? monotonicClock;
+		this._clock = clock;
+		this._startedAtMs = clock.nowMs();
+		this._startedEmpty = _machine.historyId === '';
+		this._ownStatus = createOwnStatus(settings, _machine.tables.tables.revision);
+		this._register(_listener);
+		this._register(_log);
+		this._claims = this._register(new ClaimBatcher(_log, events));
+		this._subscriptions = this._register(
+			new SubscriptionService({
+				keeperId: settings.processId,
+				machine: _machine,
+				registry: this._registry,
+				claims: this._claims,
+				clock,
+				log: events,
+				ageMs: () => _log.ageMs(),
+			}),
+		);
+		this._reports = this._register(
+			new ReportExchange({
+				keeperId: settings.processId,
+				log: _log,
+				registry: this._registry,
+				clock,
+				connection: { identity: { ...identity, role: 'reporter' }, secret: settings.sharedSecret, limits },
+			}),
+		);
+		this._wire();
+	}
+
+	/**
+	 * Starts a keeper and resolves once it listens.
+	 *
+	 * @throws TransportError when an address can't be bound, and what the log throws when its files can't be used
+	 * @example
+	 * const keeper = await KeeperDaemon.start({ settings, identity, events, openLog });
+	 */
+	static async start(options: KeeperOptions): Promise<KeeperDaemon> {
+		const { settings, identity } = options;
+		const limits = options.limits ?? defaultConnectionLimits;
+		const machine = new KeeperStateMachine();
+		const listener = await FrameListener.listen(settings.peerAddress, {
+			identity,
+			secret: settings.sharedSecret,
+			limits,
+		});
+		let daemon: KeeperDaemon;
+		try {
+			const log = await options.openLog(machine, listener.address);
+			daemon = new KeeperDaemon(options, machine, listener, log, limits);
+		} catch (error) {
+			listener.dispose();
+			throw error;
+		}
+		try {
+			await daemon._listenForOperators();
+		} catch (error) {
+			daemon.dispose();
+			throw error;
+		}
+		return daemon;
+	}
+
+	/** Address that keepers, entries and agents connect to. */
+	get peerAddress(): string {
+		return this._listener.address;
+	}
+
+	/** Address of the operators' interface. */
+	get operatorAddress(): string {
+		return this._operators?.address ?? '';
+	}
+
+	/** Hands over the lead and the subscribers, and answers what is in flight. */
+	async drain(): Promise<void> {
+		this._ownStatus = { ...this._ownStatus, isDraining: true };
+		this._putOwnRecord();
+		await this._operators?.drain();
+		await this._log.transferLeadership(transferTimeoutMs);
+		this._subscriptions.leave();
+		const untilMs = this._clock.nowMs() + moveTimeoutMs;
+		while (this._subscriptions.size > 0 && this._hasOtherKeepers() && this._clock.nowMs() < untilMs) {
+			await new Promise<void>((resolve) => setTimeout(resolve, 10));
+		}
+		await this._claims.flush();
+	}
+
+	/** What this keeper knows about the system. */
+	status(): SystemStatus {
+		const nowMs = this._clock.nowMs();
+		return describeSystem({
+			keeperId: this._options.settings.processId,
+			replica: this._log.status,
+			machine: this._machine,
+			ageMs: this._boundedAgeMs(),
+			processes: this._registry.processes(nowMs, this._options.settings.memberLeaseMs),
+			silentKeepers: this._reports.silentKeepers(),
+			upForMs: nowMs - this._startedAtMs,
+			startedEmpty: this._startedEmpty,
+			nowMs,
+		});
+	}
+
+	private _wire(): void {
+		const { settings, events } = this._options;
+		const duties = this._register(
+			new LeaderDuties({
+				log: this._log,
+				machine: this._machine,
+				registry: this._registry,
+				clock: this._clock,
+				events,
+				memberLeaseMs: settings.memberLeaseMs,
+				claimRetentionMs: settings.claimRetentionMs,
+			}),
+		);
+		this._register(
+			this._listener.onDidConnect((connection) => {
+				this._accept(connection);
+			}),
+		);
+		this._register(
+			this._listener.onDidRefuse((reason) => {
+				events.warn('connection.refused', { reason });
+			}),
+		);
+		this._register(
+			this._subscriptions.onDidChangeMembers(() => {
+				this._reports.reportSoon();
+				duties.tick();
+			}),
+		);
+		this._register(
+			this._reports.onDidReceive(() => {
+				duties.tick();
+			}),
+		);
+		this._register(
+			this._log.onDidApply(() => {
+				this._publish();
+			}),
+		);
+		this._register(
+			this._log.onDidChangeStatus(({ role, term, leaderId }) => {
+				events.info('keeper.roleChanged', { replicaRole: role, term, leaderId });
+			}),
+		);
+		const timer = setInterval(() => {
+			this._putOwnRecord();
+		}, ownStatusIntervalMs);
+		this._register({
+			dispose: () => {
+				clearInterval(timer);
+			},
+		});
+		this._putOwnRecord();
+	}
+
+	private _accept(connection: IConnection): void {
+		if (connection.peer.role === 'keeper') {
+			this._log.acceptPeer(connection);
+			return;
+		}
+		if (connection.peer.role === 'reporter') {
+			this._reports.accept(connection);
+			return;
+		}
+		this._subscriptions.accept(connection);
+	}
+
+	private _publish(): void {
+		this._subscriptions.publish();
+		if (this._ownStatus.revisionInForce !== this._machine.tables.tables.revision) {
+			this._putOwnRecord();
+			this._reports.reportSoon();
+		}
+	}
+
+	/** A keeper counts among the processes that must have a revision in force. */
+	private _putOwnRecord(): void {
+		const revision = this._machine.tables.tables.revision;
+		if (this._ownStatus.revisionInForce !== revision) {
+			this._ownStatus = { ...this._ownStatus, revisionInForce: revision };
+		}
+		const { processId, incarnation } = this._options.identity;
+		this._registry.put({
+			processId,
+			role: 'keeper',
+			incarnation,
+			keeperId: processId,
+			subscribedAtMs: this._startedAtMs,
+			heardAtMs: this._clock.nowMs(),
+			hasLeft: false,
+			status: this._ownStatus,
+		});
+	}
+
+	private _hasOtherKeepers(): boolean {
+		return this._log.status.members.length > 1;
+	}
+
+	private _boundedAgeMs(): number | undefined {
+		const ageMs = this._log.ageMs();
+		return Number.isFinite(ageMs) ? ageMs : undefined;
+	}
+
+	private async _listenForOperators(): Promise<void> {
+		const { settings, events } = this._options;
+		const operators = await OperatorServer.listen(settings.operatorAddress, {
+			token: settings.operatorToken,
+			log: this._log,
+			machine: this._machine,
+			events,
+			status: () => this.status(),
+			boundedAgeMs: () => this._boundedAgeMs(),
+		});
+		this._operators = this._register(operators);
+	}
+}
+
+function createOwnStatus(settings: KeeperSettings, revisionInForce: number): MemberStatus {
+	const { dataCentre, rack } = settings;
+	return { dataCentre, rack, isDraining: false, revisionInForce };
+}
--- /dev/null
+++ b/src/keeper/node/operatorServer.ts
@@ -0,0 +1,173 @@
+/** The operators' HTTP interface of a keeper. Reads are answered here; changes go through the replicated log. */
+
+import { createHash, timingSafeEqual } from 'node:crypto';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { createAdaptorServer } from '@hono/node-server';
+import { Hono, type Context } from 'hono';
+import { bodyLimit } from 'hono/body-limit';
+import { describeError } from '../../base/common/errors.js';
+import { Disposable, toDisposable } from '../../base/common/disposable.js';
+import type { ILogService } from '../../platform/log/common/log.js';
+import { formatAddress, parseAddress } from '../../platform/transport/node/address.js';
+import { TransportError } from '../../platform/transport/common/transport.js';
+import {
+	operatorPaths,
+	type ChangeResult,
+	type HistoryBody,
+	type OperatorErrorBody,
+	type SystemStatus,
+	type TablesBody,
+} from '../../protocol/common/operatorApi.js';
+import type { IReplicatedLog } from '../../replication/common/replicatedLog.js';
+import { changeRequestSchema, describeIssues } from '../common/changeRequestSchema.js';
+import { decodeValue, encodeValue } from '../common/keeperCommands.js';
+import type { KeeperStateMachine } from '../common/keeperStateMachine.js';
+
+/** Largest body of a change: 5,000 edits of some 500 bytes. */
+const maxBodyBytes = 4 * 1024 * 1024;
+
+/** Time in which a change is committed or its result is unknown. */
+const proposeTimeoutMs = 3000;
+
+/** Changes that a read of the history returns when it asks for no number. */
+const defaultHistoryLimit = 50;
+
+/** What the interface works on. */
+export interface OperatorServices {
+	readonly token: string;
+	readonly log: IReplicatedLog;
+	readonly machine: KeeperStateMachine;
+	readonly events: ILogService;
+	readonly status: () => SystemStatus;
+	/** Greatest possible age of this keeper's state, absent when it can't be bounded. */
+	readonly boundedAgeMs: () => number | undefined;
+}
+
+/** Serves operators until it is disposed. */
+export class OperatorServer extends Disposable {
+	private constructor(
+		private readonly _server: Server,
+		readonly address: string,
+	) {
+		super();
+		this._register(
+			toDisposable(() => {
+				_server.close();
+				_server.closeAllConnections();
+			}),
+		);
+	}
+
+	/**
+	 * Starts to listen.
+	 *
+	 * @throws TransportError when the address can't be bound
+	 * @example
+	 * const server = await OperatorServer.listen('127.0.0.1:0', services);
+	 */
+	static async listen(address: string, services: OperatorServices): Promise<OperatorServer> {
+		const app = createApp(services);
+		const server = createAdaptorServer({ fetch: app.fetch }) as Server;
+		const { host, port } = parseAddress(address);
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', (error) => {
+				reject(new TransportError(`The address ${address} can't be bound: ${describeError(error)}.`));
+			});
+			server.listen({ host, port }, resolve);
+		});
+		const bound = server.address() as AddressInfo;
+		return new OperatorServer(server, formatAddress(bound.address, bound.port));
+	}
+
+	/** Takes no new connection, and resolves once every request in flight has been answered. */
+	async drain(): Promise<void> {
+		const closed = new Promise<void>((resolve) => {
+			this._server.close(() => {
+				resolve();
+			});
+		});
+		this._server.closeIdleConnections();
+		await closed;
+	}
+}
+
+function createApp(services: OperatorServices): Hono {
+	const app = new Hono();
+	const tokenDigest = digest(services.token);
+	app.use('*', async (context: Context, next) => {
+		const given = /^Bearer (.+)$/.exec(context.req.header('authorization') ?? '')?.[1] ?? '';
+		if (!timingSafeEqual(digest(given), tokenDigest)) {
+			const message =
+				'The operator token is missing or wrong; give the operatorToken of the keeper settings.';
+			return sendError(context, 401, { error: 'unauthorized', message });
+		}
+		await next();
+		return undefined;
+	});
+	app.use('*', bodyLimit({ maxSize: maxBodyBytes, onError: (context: Context) => refuseLargeBody(context) }));
+	app.get(operatorPaths.tables, (context) => {
+		const body: TablesBody = { tables: services.machine.tables.tables, ageMs: services.boundedAgeMs() };
+		return context.json(body);
+	});
+	app.get(operatorPaths.changes, (context) => context.json(readHistory(services, context)));
+	app.get(operatorPaths.status, (context) => context.json(services.status()));
+	app.post(operatorPaths.changes, (context) => changeTables(services, context));
+	app.notFound((context) => {
+		const message = `The path ${context.req.path} does not exist; see docs/OPERATORS-INTERFACE.md.`;
+		return sendError(context, 404, { error: 'notFound', message });
+	});
+	app.onError((error, context) => {
+		services.events.error('operator.requestFailed', { message: describeError(error) });
+		const message = 'The keeper met an unexpected error; see its log.';
+		return sendError(context, 500, { error: 'unknown', message });
+	});
+	return app;
+}
+
+async function changeTables(services: OperatorServices, context: Context): Promise<Response> {
+	const json: unknown = await context.req.json().catch(() => undefined);
+	const parsed = changeRequestSchema.safeParse(json);
+	if (!parsed.success) {
+		return sendError(context, 400, { error: 'badRequest', message: describeIssues(parsed.error) });
+	}
+	const command = { kind: 'changeTables', request: parsed.data, acceptedAt: new Date().toISOString() };
+	const answer = await services.log.propose(encodeValue(command), proposeTimeoutMs);
+	if (answer.isErr()) {
+		const { errorKind, message } = answer.error;
+		const sentence = `${message} Send the change again with the same request id.`;
+		return sendError(context, errorKind === 'noLeader' ? 503 : 504, { error: errorKind, message: sentence });
+	}
+	const result = decodeValue(answer.value) as ChangeResult;
+	logResult(services.events, parsed.data.author, result);
+	return context.json(result, result.outcome === 'accepted' || result.outcome === 'unchanged' ? 200 : 409);
+}
+
+function logResult(events: ILogService, author: string, result: ChangeResult): void {
+	const revision = 'revision' in result ? result.revision : result.presentRevision;
+	events.info('tables.changeDecided', { outcome: result.outcome, revision, author });
+}
+
+function readHistory(services: OperatorServices, context: Context): HistoryBody {
+	const asked = Number(context.req.query('limit') ?? defaultHistoryLimit);
+	const limit = Number.isInteger(asked) && asked > 0 ? asked : defaultHistoryLimit;
+	const { history } = services.machine.tables;
+	return { changes: history.slice(-limit).reverse(), oldestRevision: history[0]?.revision ?? 0 };
+}
+
+function refuseLargeBody(context: Context): Response {
+	const message = `The body exceeds ${maxBodyBytes} bytes; split the change.`;
+	return sendError(context, 413, { error: 'badRequest', message });
+}
+
+function sendError(
+	context: Context,
+	status: 400 | 401 | 404 | 413 | 500 | 503 | 504,
+	body: OperatorErrorBody,
+): Response {
+	return context.json(body, status);
+}
+
+function digest(text: string): Buffer {
+	return createHash('sha256').update(text).digest();
+}
--- /dev/null
+++ b/src/operator/common/planText.ts
@@ -0,0 +1,36 @@
+/** Shows a plan of edits to people. */
+
+import { changedFields, editedName } from '../../declarations/common/tableEdits.js';
+import type { PutEdit, TableEdit, Tables } from '../../declarations/common/tables.js';
+
+/**
+ * Describes edits against the tables that they were planned on, one row a paragraph.
+ *
+ * @example
+ * describePlan(tables, edits); // '+ pools/ledger\n    maxQueuedTasks: 2000 …'
+ */
+export function describePlan(tables: Tables, edits: readonly TableEdit[]): string {
+	return edits.map((edit) => describeEdit(tables, edit)).join('\n');
+}
+
+function describeEdit(tables: Tables, edit: TableEdit): string {
+	const name = `${edit.table}/${editedName(edit)}`;
+	if (edit.action === 'delete') {
+		return `- ${name}`;
+	}
+	const before = findRow(tables, edit);
+	const fields = changedFields(before, edit.row)
+		.filter(({ field }) => field !== 'name')
+		.map((change) => {
+			const after = JSON.stringify(change.after);
+			return before === undefined
+				? `    ${change.field}: ${after}`
+				: `    ${change.field}: ${JSON.stringify(change.before)} -> ${after}`;
+		});
+	return [`${before === undefined ? '+' : '~'} ${name}`, ...fields].join('\n');
+}
+
+function findRow(tables: Tables, edit: PutEdit): object | undefined {
+	const rows: readonly { readonly name: string }[] = tables[edit.table];
+	return rows.find((row) => row.name === edit.row.name);
+}
--- a/src/platform/transport/common/transport.ts
+++ b/src/platform/transport/common/transport.ts
@@ -3,8 +3,8 @@
 import type { IDisposable } from '../../../base/common/disposable.js';
 import type { Event } from '../../../base/common/event.js';
 
-/** What a process is. */
-export type ProcessRole = 'entry' | 'agent' | 'keeper' | 'operator' | 'probe';
+/** What a process is. A keeper that connects to another to tell of its subscribers does so as `reporter`. */
+export type ProcessRole = 'entry' | 'agent' | 'keeper' | 'reporter' | 'operator' | 'probe';
 
 /** Who a process says it is when it connects; proven by the shared secret. */
 export interface PeerIdentity {
--- a/src/protocol/common/keeperMessages.ts
+++ b/src/protocol/common/keeperMessages.ts
@@ -1,6 +1,7 @@
 /** Messages between keepers and the processes that subscribe to them. */
 
 import type { TableDelta, Tables } from '../../declarations/common/tables.js';
+import type { ProcessRole } from '../../platform/transport/common/transport.js';
 import type { UpstreamOffer } from './agentMessages.js';
 
 /** An entry that jobs may be relayed to and that agents connect to. */
@@ -40,13 +41,40 @@
 	readonly kind: 'subscribe';
 	readonly revision: number;
 	readonly epoch: number;
+	/** History that the revision belongs to; absent before the first snapshot. */
+	readonly historyId?: string | undefined;
 	readonly status: MemberStatus;
+	/** Number that the keeper repeats in its messages; see {@link FreshnessProof}. */
+	readonly probe: number;
 }
 
-/** Renews the subscriber's lease; sent at an interval and when the status has changed. */
+/** Renews the subscriber's lease with a changed status. */
 export interface MemberStatusMessage {
 	readonly kind: 'memberStatus';
 	readonly status: MemberStatus;
+	readonly probe: number;
+}
+
+/** Renews the subscriber's lease at an interval and when a revision is in force; answered by `controlFreshness`. */
+export interface RenewLeaseMessage {
+	readonly kind: 'renewLease';
+	readonly probe: number;
+	readonly revisionInForce: number;
+}
+
+/** Ends the subscriber's lease: the process stops and won't come back under this incarnation. */
+export interface LeaveMessage {
+	readonly kind: 'leave';
+}
+
+/**
+ * Part of every message that carries state. The state held everything that was committed `ageMs` before the message
+ * was sent, and it was sent after `probe` had arrived. So the receiver knows by its own clock alone how old the state
+ * can be at most: `ageMs` plus the time since it sent that probe, however long the network held the message.
+ */
+export interface FreshnessProof {
+	readonly ageMs: number;
+	readonly probe: number;
 }
 
 /** A claim of a submission that may run at most once. */
@@ -55,6 +83,11 @@
 	/** Entry that will run the submission. */
 	readonly ownerId: string;
 	readonly ownerIncarnation: string;
+	/**
+	 * Counts the claims of one incarnation; added by the control plane's client. A release takes back only claims up
+	 * to its number, so that a late one can't take back a newer claim of the same submission.
+	 */
+	readonly claimNumber?: number | undefined;
 }
 
 /** Asks the keepers to record claims durably; answered by `claimAnswers`. */
@@ -78,39 +111,101 @@
 /** Answers claims. */
 export interface ClaimAnswersMessage {
 	readonly kind: 'claimAnswers';
-	readonly answers: readonly { readonly submissionId: string; readonly outcome: ClaimOutcome }[];
+	readonly answers: readonly ClaimAnswer[];
+	/** Releases that are recorded: those of `releaseClaims` that need not be sent again. */
+	readonly released: readonly ReleaseAnswer[];
+}
+
+/** What became of one claim. */
+export interface ClaimAnswer {
+	readonly submissionId: string;
+	readonly claimNumber?: number | undefined;
+	readonly outcome: ClaimOutcome;
+}
+
+/** A release that is recorded. */
+export interface ReleaseAnswer {
+	readonly submissionId: string;
+	readonly claimNumber?: number | undefined;
 }
 
 /** The whole state of a subscription. */
-export interface ControlSnapshotMessage {
+export interface ControlSnapshotMessage extends FreshnessProof {
 	readonly kind: 'controlSnapshot';
+	readonly historyId: string;
 	readonly tables: Tables;
 	readonly directory: EntryDirectory;
-	/** Greatest possible age of the state when the message was sent. */
-	readonly ageMs: number;
 }
 
 /** Changes to a subscription's state, in order and without gaps. */
-export interface ControlDeltaMessage {
+export interface ControlDeltaMessage extends FreshnessProof {
 	readonly kind: 'controlDelta';
+	readonly historyId: string;
 	readonly deltas: readonly TableDelta[];
 	/** Present when the directory has changed. */
 	readonly directory?: EntryDirectory | undefined;
-	readonly ageMs: number;
 }
 
-/** Says how fresh the state is; sent at an interval when there are no changes. */
-export interface ControlFreshnessMessage {
+/** Says how fresh the keeper's state is; the answer to each renewal of a lease. */
+export interface ControlFreshnessMessage extends FreshnessProof {
 	readonly kind: 'controlFreshness';
+	readonly historyId: string;
 	readonly revision: number;
 	readonly epoch: number;
-	readonly ageMs: number;
+}
+
+/** Asks the subscriber to move to another keeper, because this one stops. */
+export interface KeeperLeavingMessage {
+	readonly kind: 'keeperLeaving';
+}
+
+/** What a keeper knows about one process: a subscriber, or itself. Times are by the sender's monotonic clock. */
+export interface MemberReport {
+	readonly processId: string;
+	readonly role: ProcessRole;
+	readonly incarnation: string;
+	/** Time since the process subscribed, or since the keeper started. */
+	readonly subscribedAgoMs: number;
+	/** Time since the process was last heard. */
+	readonly heardAgoMs: number;
+	/** The process said that it stops. */
+	readonly hasLeft: boolean;
+	readonly status: MemberStatus;
+}
+
+/**
+ * Tells another keeper about the sender's subscribers, at an interval and after changes. It names only what has
+ * changed, so that its size doesn't grow with the number of quiet subscribers.
+ */
+export interface MemberReportsMessage {
+	readonly kind: 'memberReports';
+	/** Processes that are new on this connection, or whose status has changed. */
+	readonly members: readonly MemberReport[];
+	/** Every process reported before on this connection and not named here was heard within this time. */
+	readonly heardWithinMs: number;
+	/** Processes that were not heard within that time. */
+	readonly silent: readonly SilentMember[];
+}
+
+/** A process that has not renewed its lease lately. */
+export interface SilentMember {
+	readonly processId: string;
+	readonly heardAgoMs: number;
 }
 
 /** Messages that a keeper sends to a subscriber. */
 export type KeeperToMemberMessage =
-	ControlSnapshotMessage | ControlDeltaMessage | ControlFreshnessMessage | ClaimAnswersMessage;
+	| ControlSnapshotMessage
+	| ControlDeltaMessage
+	| ControlFreshnessMessage
+	| ClaimAnswersMessage
+	| KeeperLeavingMessage;
 
 /** Messages that a subscriber sends to a keeper. */
 export type MemberToKeeperMessage =
-	SubscribeMessage | MemberStatusMessage | ClaimMessage | ReleaseClaimsMessage;
+	| SubscribeMessage
+	| MemberStatusMessage
+	| RenewLeaseMessage
+	| LeaveMessage
+	| ClaimMessage
+	| ReleaseClaimsMessage;
