Agent: core of tables and systems, HTTP platform, announcements; stand-in upstream

Change: the core is a pure tick over tables (tasks by identity, entries, upstream, usage by route). A refused start is fenced, so that an answered notStarted can't run later; a start may carry an attempt number, by which only a later placement lifts a fence. Fences may name the agent's incarnation: a restarted agent answers unknown rather than notStarted. The stand-in upstream journals each event with one write. Ruled out: fencing by connection order alone (two entries' connections cross); dropping identities at the bound. Not yet: the agent command (waits for the control plane's client), tests.

--- /dev/null
+++ b/src/agent/common/agentInputs.ts
@@ -0,0 +1,87 @@
+/** What goes into a tick of the agent's core, and what comes out of it. Both are plain data. */
+
+import type { Tables } from '../../declarations/common/tables.js';
+import type { AgentToEntryMessage, EntryToAgentMessage } from '../../protocol/common/agentMessages.js';
+import type { TaskIdentity, TaskNeeds } from '../../protocol/common/jobs.js';
+import type { LogFields } from '../../platform/log/common/log.js';
+import type { Announcement } from './announcement.js';
+
+/** How a run ended, as the platform saw it. */
+export type RunEnd =
+	| { readonly state: 'done'; readonly resultJson: string }
+	| { readonly state: 'failed'; readonly message: string }
+	/** The upstream confirmed that it stopped the task. */
+	| { readonly state: 'stopped' }
+	/** The task surely has not started. `unreachable`: nothing listens at the upstream's address. */
+	| { readonly state: 'notStarted'; readonly cause: 'refused' | 'unreachable' }
+	/** The connection was lost after the request may have been sent. */
+	| { readonly state: 'lost'; readonly message: string };
+
+/** Measured use of one task. */
+export interface UsageSample extends TaskIdentity {
+	readonly cores: number;
+	readonly memoryBytes: number;
+	/** Time between the measurement and the sample's arrival. */
+	readonly ageMs: number;
+}
+
+/** What the platform reports. */
+export type PlatformReport =
+	| { readonly kind: 'runEnded'; readonly runId: number; readonly end: RunEnd }
+	| { readonly kind: 'usageSampled'; readonly samples: readonly UsageSample[] };
+
+/** Input of a tick. */
+export type AgentInput =
+	| {
+			readonly kind: 'entryConnected';
+			readonly connectionId: number;
+			readonly entryId: string;
+			readonly incarnation: string;
+	  }
+	| { readonly kind: 'entryClosed'; readonly connectionId: number }
+	| {
+			readonly kind: 'entryMessage';
+			readonly connectionId: number;
+			readonly message: EntryToAgentMessage;
+			/** Greatest possible age of the agent's tables when the message arrived. */
+			readonly tablesAgeMs: number;
+	  }
+	| { readonly kind: 'announced'; readonly announcement: Announcement }
+	| { readonly kind: 'withdrawn' }
+	| { readonly kind: 'tablesChanged'; readonly tables: Tables }
+	| { readonly kind: 'drainAsked' }
+	| PlatformReport;
+
+/** A run that the platform is to start. */
+export interface TaskRun extends TaskIdentity {
+	readonly runId: number;
+	readonly route: string;
+	readonly team: string;
+	readonly needs: TaskNeeds;
+	readonly payloadJson: string;
+	/** Time that is left of the task's lease. */
+	readonly leaseMs: number;
+}
+
+/** What the platform is asked to do. */
+export type PlatformCommand =
+	/** Starts are sent to the upstream at this address from now on. */
+	| { readonly kind: 'useUpstream'; readonly address: string; readonly connections: number }
+	| { readonly kind: 'startRun'; readonly run: TaskRun }
+	| { readonly kind: 'stopRun'; readonly runId: number }
+	/** Gives up waiting for a run whose end is already decided. */
+	| { readonly kind: 'abandonRun'; readonly runId: number }
+	| { readonly kind: 'throttleRun'; readonly runId: number; readonly share: number }
+	| { readonly kind: 'checkpointRun'; readonly runId: number }
+	| { readonly kind: 'sampleUsage' };
+
+/** Output of a tick. */
+export type AgentOutput =
+	| { readonly kind: 'send'; readonly connectionId: number; readonly message: AgentToEntryMessage }
+	| {
+			readonly kind: 'log';
+			readonly level: 'info' | 'warn';
+			readonly event: string;
+			readonly fields: LogFields;
+	  }
+	| PlatformCommand;
--- a/src/agent/common/agentSettings.ts
+++ b/src/agent/common/agentSettings.ts
@@ -19,6 +19,31 @@
 			'Time for which a finished task is remembered, so that a late or doubled start never runs it again.',
 		),
 	maxQueuedTasks: z.number().int().nonnegative().default(64).describe('Starts that may wait for a slot.'),
+	maxRememberedTasks: z
+		.number()
+		.int()
+		.positive()
+		.default(100_000)
+		.describe(
+			'Task identities that are remembered; at the limit new starts are refused rather than forgotten.',
+		),
+	maxKeptResultBytes: z
+		.number()
+		.int()
+		.positive()
+		.default(16_777_216)
+		.describe('Bytes of results that are kept for entries which have not acknowledged them.'),
+	maxResultBytes: z
+		.number()
+		.int()
+		.positive()
+		.default(1_048_576)
+		.describe('Largest result of a task; a larger one ends the task as failed.'),
+	freshnessLimitMs: durationMsSchema
+		.default(2000)
+		.describe(
+			"Age of the agent's and the sender's tables past which a start is refused, as a drain may have been missed.",
+		),
 	drainTimeoutMs: durationMsSchema
 		.default(30_000)
 		.describe('Time that a drain may take before the process gives up.'),
--- /dev/null
+++ b/src/agent/common/systems/entryMessageSystem.ts
@@ -0,0 +1,255 @@
+/** Takes the messages of entries: starts, cancellations, fences and acknowledgements. */
+
+import { match } from 'ts-pattern';
+import type {
+	AcknowledgeOutcomesMessage,
+	CancelTasksMessage,
+	FenceTasksMessage,
+	NotStartedReason,
+	StartBatch,
+	StartTasksMessage,
+	TaskStart,
+} from '../../../protocol/common/agentMessages.js';
+import type { TaskIdentity } from '../../../protocol/common/jobs.js';
+import type { AgentInput } from '../agentInputs.js';
+import type { AgentTick, EntryRow } from '../agentTables.js';
+import type { TaskRecord } from '../taskTable.js';
+import { canEverFit } from './admissionSystem.js';
+import { isAccepting } from './membershipSystem.js';
+import { endTask, fenceTask, identityOf, stopRunning } from './taskEnds.js';
+
+type EntryMessageInput = Extract<AgentInput, { kind: 'entryMessage' }>;
+
+/** Every attempt of a task. */
+const everyAttempt = Number.MAX_SAFE_INTEGER;
+
+const forgottenEndMessage =
+	'The task was started at this agent earlier and has ended; its result was delivered and is no longer held.';
+const restartedAgentMessage =
+	'The agent was started anew since the task was sent to it, so it may or may not have run.';
+
+/** Takes one message of an entry. Messages of a connection that is closed are void. */
+export function takeEntryMessage(tick: AgentTick, input: EntryMessageInput): void {
+	const entry = tick.tables.entries.get(input.connectionId);
+	if (entry === undefined) {
+		return;
+	}
+	match(input.message)
+		.with({ kind: 'startTasks' }, (message) => {
+			takeStarts(tick, entry, message, input.tablesAgeMs);
+		})
+		.with({ kind: 'cancelTasks' }, (message) => {
+			takeCancellations(tick, entry, message);
+		})
+		.with({ kind: 'fenceTasks' }, (message) => {
+			takeFences(tick, entry, message);
+		})
+		.with({ kind: 'acknowledgeOutcomes' }, (message) => {
+			takeAcknowledgements(tick, entry, message);
+		})
+		.exhaustive();
+}
+
+function takeStarts(tick: AgentTick, entry: EntryRow, message: StartTasksMessage, tablesAgeMs: number): void {
+	const commonReason = messageRefusal(tick, message, tablesAgeMs);
+	if (commonReason === undefined) {
+		raiseEpoch(tick, message.epoch);
+	}
+	for (const batch of message.batches) {
+		const reason = commonReason ?? batchRefusal(tick, message, batch);
+		for (const task of batch.tasks) {
+			takeStart(tick, entry, batch, task, reason);
+		}
+	}
+}
+
+function takeStart(
+	tick: AgentTick,
+	entry: EntryRow,
+	batch: StartBatch,
+	task: TaskStart,
+	batchReason: NotStartedReason | undefined,
+): void {
+	const { tasks } = tick.tables;
+	const identity: TaskIdentity = { submissionId: batch.submissionId, taskIndex: task.taskIndex };
+	const attempt = task.attempt ?? 0;
+	const known = tasks.get(identity);
+	if (known !== undefined && !(known.state === 'fenced' && attempt > known.attempt)) {
+		answerKnown(tick, entry, known);
+		return;
+	}
+	const reason = batchReason ?? taskRefusal(tick, known);
+	if (reason !== undefined) {
+		fenceTask(tick, entry, identity, attempt, reason);
+		return;
+	}
+	const { nowMs } = tick;
+	const live = {
+		route: batch.route,
+		team: batch.team,
+		needs: batch.needs,
+		payloadJson: task.payloadJson,
+		connectionId: entry.connectionId,
+		receivedAtMs: nowMs,
+		startByMs: nowMs + batch.startWithinMs,
+		leaseEndsMs: nowMs + batch.leaseMs,
+		runId: undefined,
+		startedAtMs: undefined,
+		stopAskedAtMs: undefined,
+		stopMessage: '',
+		isCheckpointed: false,
+		throttleShare: 1,
+		usage: undefined,
+	};
+	tasks.enqueue(identity, attempt, live, entry);
+}
+
+/** Why no task of a message may be started. */
+function messageRefusal(
+	tick: AgentTick,
+	message: StartTasksMessage,
+	tablesAgeMs: number,
+): NotStartedReason | undefined {
+	const { tables } = tick;
+	if (tables.upstream === undefined) {
+		return 'noUpstream';
+	}
+	if (!isAccepting(tick)) {
+		return 'leaving';
+	}
+	if (message.epoch < (tables.epochs.get(tables.upstream.offer.pool) ?? 0)) {
+		return 'olderEpoch';
+	}
+	const limitMs = tables.options.freshnessLimitMs;
+	if (tablesAgeMs > limitMs && message.ageMs !== undefined && message.ageMs > limitMs) {
+		return 'staleTables';
+	}
+	return undefined;
+}
+
+/** Why no task of a batch may be started. */
+function batchRefusal(
+	tick: AgentTick,
+	message: StartTasksMessage,
+	batch: StartBatch,
+): NotStartedReason | undefined {
+	const { tables } = tick;
+	const pool = tables.upstream?.offer.pool;
+	// A sender whose tables are newer knows of routes that this agent has yet to hear of.
+	if (message.revision <= tables.declarations.revision && tables.poolOfRoute.get(batch.route) !== pool) {
+		return 'otherPool';
+	}
+	if (!canEverFit(tables, batch.route, batch.needs)) {
+		return 'doesNotFit';
+	}
+	return undefined;
+}
+
+/** Why one task may not be started. */
+function taskRefusal(tick: AgentTick, known: TaskRecord | undefined): NotStartedReason | undefined {
+	const { tasks, options, upstream } = tick.tables;
+	if (known === undefined && tasks.size >= options.maxRememberedTasks) {
+		return 'identitiesFull';
+	}
+	const freeSlots = Math.max(0, (upstream?.offer.slots ?? 0) - tasks.runningCount);
+	if (tasks.queue.length >= freeSlots + options.maxQueuedTasks) {
+		return 'queueFull';
+	}
+	return undefined;
+}
+
+/** Tells an entry about a task that is known already; it is never started a second time. */
+function answerKnown(tick: AgentTick, entry: EntryRow, record: TaskRecord): void {
+	const { tasks } = tick.tables;
+	if (record.live !== undefined) {
+		tasks.addRecipient(record, entry);
+		return;
+	}
+	if (record.end !== undefined) {
+		tasks.addRecipient(record, entry);
+		tick.reply(entry.connectionId, { ...identityOf(record), end: record.end });
+		return;
+	}
+	const end =
+		record.state === 'fenced'
+			? ({ state: 'notStarted', reason: 'fenced' } as const)
+			: ({ state: 'unknown', message: forgottenEndMessage } as const);
+	tick.reply(entry.connectionId, { ...identityOf(record), end });
+}
+
+function takeCancellations(tick: AgentTick, entry: EntryRow, message: CancelTasksMessage): void {
+	for (const identity of message.tasks) {
+		const record = tick.tables.tasks.get(identity);
+		if (record === undefined) {
+			fenceTask(tick, entry, identity, everyAttempt, 'cancelled');
+			continue;
+		}
+		if (record.state === 'queued') {
+			record.attempt = everyAttempt;
+			endTask(tick, record, { state: 'notStarted', reason: 'cancelled' });
+			continue;
+		}
+		stopRunning(tick, record, 'The task was cancelled.');
+	}
+	dropEndedFromQueue(tick);
+}
+
+function takeFences(tick: AgentTick, entry: EntryRow, message: FenceTasksMessage): void {
+	raiseEpoch(tick, message.epoch);
+	const attempt = message.attempt ?? everyAttempt;
+	const ownIncarnation = tick.tables.options.incarnation;
+	const isForEarlierRun = (message.agentIncarnation ?? ownIncarnation) !== ownIncarnation;
+	for (const identity of message.tasks) {
+		const record = tick.tables.tasks.get(identity);
+		if (record === undefined && isForEarlierRun) {
+			const end = { state: 'unknown', message: restartedAgentMessage } as const;
+			tick.reply(entry.connectionId, { ...identity, end });
+			continue;
+		}
+		if (record === undefined) {
+			fenceTask(tick, entry, identity, attempt, 'fenced');
+			continue;
+		}
+		fenceKnown(tick, entry, record, attempt);
+	}
+	dropEndedFromQueue(tick);
+}
+
+function fenceKnown(tick: AgentTick, entry: EntryRow, record: TaskRecord, attempt: number): void {
+	if (record.state === 'queued' && record.attempt <= attempt) {
+		record.attempt = attempt;
+		tick.tables.tasks.addRecipient(record, entry);
+		endTask(tick, record, { state: 'notStarted', reason: 'fenced' });
+		return;
+	}
+	if (record.state === 'fenced') {
+		record.attempt = Math.max(record.attempt, attempt);
+	}
+	answerKnown(tick, entry, record);
+}
+
+function takeAcknowledgements(tick: AgentTick, entry: EntryRow, message: AcknowledgeOutcomesMessage): void {
+	const { tasks } = tick.tables;
+	for (const identity of message.tasks) {
+		const record = tasks.get(identity);
+		if (record !== undefined) {
+			tasks.acknowledge(record, entry);
+		}
+	}
+}
+
+function raiseEpoch(tick: AgentTick, epoch: number): void {
+	const { upstream, epochs } = tick.tables;
+	if (upstream === undefined) {
+		return;
+	}
+	const { pool } = upstream.offer;
+	if (epoch > (epochs.get(pool) ?? 0)) {
+		epochs.set(pool, epoch);
+	}
+}
+
+function dropEndedFromQueue(tick: AgentTick): void {
+	const { tasks } = tick.tables;
+	tasks.queue = tasks.queue.filter((record) => record.state === 'queued');
+}
--- /dev/null
+++ b/src/agent/common/systems/outcomeSystem.ts
@@ -0,0 +1,71 @@
+/** Tells entries how tasks ended: one frame an entry a tick, and everything unacknowledged after a reconnect. */
+
+import type { TaskOutcome } from '../../../protocol/common/agentMessages.js';
+import type { AgentTick, EntryRow } from '../agentTables.js';
+import { recipientKey, type TaskRecord } from '../taskTable.js';
+import { identityOf } from './taskEnds.js';
+
+/** Characters of results in one frame; far below the limit of a connection's frames. */
+const maxFrameResultChars = 4_000_000;
+
+/** Sends the outcomes of this tick. */
+export function runOutcomes(tick: AgentTick): void {
+	for (const entry of tick.connected) {
+		for (const record of tick.tables.tasks.unacknowledgedOf(entry)) {
+			reply(tick, entry, record);
+		}
+	}
+	if (tick.ended.size > 0) {
+		replyToRecipients(tick);
+	}
+	for (const [connectionId, outcomes] of tick.replies) {
+		if (tick.tables.entries.has(connectionId)) {
+			send(tick, connectionId, outcomes);
+		}
+	}
+}
+
+function replyToRecipients(tick: AgentTick): void {
+	const entries = new Map<string, EntryRow>();
+	for (const entry of tick.tables.entries.values()) {
+		if (!tick.connected.has(entry)) {
+			entries.set(recipientKey(entry), entry);
+		}
+	}
+	for (const record of tick.ended) {
+		for (const recipient of record.recipients) {
+			const entry = entries.get(recipientKey(recipient));
+			if (entry !== undefined) {
+				reply(tick, entry, record);
+			}
+		}
+	}
+}
+
+function reply(tick: AgentTick, entry: EntryRow, record: TaskRecord): void {
+	if (record.end !== undefined) {
+		tick.reply(entry.connectionId, { ...identityOf(record), end: record.end });
+	}
+}
+
+function send(tick: AgentTick, connectionId: number, outcomes: readonly TaskOutcome[]): void {
+	const { revision } = tick.tables.declarations;
+	let frame: TaskOutcome[] = [];
+	let frameChars = 0;
+	const flush = (): void => {
+		if (frame.length > 0) {
+			const message = { kind: 'taskOutcomes', revision, outcomes: frame } as const;
+			tick.outputs.push({ kind: 'send', connectionId, message });
+		}
+		frame = [];
+		frameChars = 0;
+	};
+	for (const outcome of outcomes) {
+		frame.push(outcome);
+		frameChars += outcome.end.state === 'done' ? outcome.end.resultJson.length : 0;
+		if (frameChars >= maxFrameResultChars) {
+			flush();
+		}
+	}
+	flush();
+}
--- /dev/null
+++ b/src/agent/common/systems/runSystem.ts
@@ -0,0 +1,45 @@
+/** Takes the platform's reports of how runs ended. */
+
+import { match } from 'ts-pattern';
+import type { TaskEnd } from '../../../protocol/common/agentMessages.js';
+import type { AgentInput, RunEnd } from '../agentInputs.js';
+import type { AgentTick } from '../agentTables.js';
+import type { LiveTask, TaskRecord } from '../taskTable.js';
+import { learnUsage } from './guardSystem.js';
+import { dropUpstream } from './membershipSystem.js';
+import { endTask, runMsOf } from './taskEnds.js';
+
+type RunEndedInput = Extract<AgentInput, { kind: 'runEnded' }>;
+
+/** Takes the end of a run. One that was given up earlier has no record any more and changes nothing. */
+export function takeRunEnd(tick: AgentTick, input: RunEndedInput): void {
+	const { tables } = tick;
+	const record = tables.tasks.getRun(input.runId);
+	if (record?.live === undefined) {
+		return;
+	}
+	learnUsage(tables, record.live);
+	endTask(tick, record, toTaskEnd(tick, record, record.live, input.end));
+	if (input.end.state === 'notStarted' && input.end.cause === 'unreachable') {
+		dropUpstream(tick, 'unreachable');
+	}
+	if (input.end.state === 'lost' && tables.upstream !== undefined) {
+		tables.upstream.isSuspect = true;
+	}
+}
+
+function toTaskEnd(tick: AgentTick, record: TaskRecord, live: LiveTask, end: RunEnd): TaskEnd {
+	const runMs = runMsOf(tick, record);
+	return match(end)
+		.returnType<TaskEnd>()
+		.with({ state: 'done' }, ({ resultJson }) => ({ state: 'done', resultJson, runMs }))
+		.with({ state: 'failed' }, ({ message }) => ({ state: 'failed', message, runMs }))
+		.with({ state: 'stopped' }, () => ({
+			state: 'stopped',
+			message: live.stopMessage === '' ? 'The upstream stopped the task.' : live.stopMessage,
+			runMs,
+		}))
+		.with({ state: 'notStarted' }, () => ({ state: 'notStarted', reason: 'upstreamRefused' }))
+		.with({ state: 'lost' }, ({ message }) => ({ state: 'unknown', message }))
+		.exhaustive();
+}
--- /dev/null
+++ b/src/agent/common/taskTable.ts
@@ -0,0 +1,300 @@
+/** Tasks that an agent has heard of, by identity, from the first mention until retention ends. */
+
+import type { KnownTaskState, TaskEnd } from '../../protocol/common/agentMessages.js';
+import { taskKey, type TaskIdentity, type TaskNeeds } from '../../protocol/common/jobs.js';
+
+/** The run of an entry that is told how a task ended. */
+export interface Recipient {
+	readonly entryId: string;
+	readonly incarnation: string;
+}
+
+/** What is known of a task until it has ended. */
+export interface LiveTask {
+	readonly route: string;
+	readonly team: string;
+	readonly needs: TaskNeeds;
+	readonly payloadJson: string;
+	/** Connection that the start came on; a queued task ends with it. */
+	readonly connectionId: number;
+	readonly receivedAtMs: number;
+	readonly startByMs: number;
+	readonly leaseEndsMs: number;
+	/** Identifies the run to the platform; set when the task is started. */
+	runId: number | undefined;
+	startedAtMs: number | undefined;
+	/** When the platform was asked to stop the task. */
+	stopAskedAtMs: number | undefined;
+	stopMessage: string;
+	isCheckpointed: boolean;
+	/** Share of the processor that the task is throttled to; 1 when it isn't. */
+	throttleShare: number;
+	/** Latest measured use; absent before the first sample. */
+	usage: TaskUsage | undefined;
+}
+
+/** Resources that a task was measured to use. */
+export interface TaskUsage {
+	readonly cores: number;
+	readonly memoryBytes: number;
+}
+
+/** One task. */
+export interface TaskRecord extends TaskIdentity {
+	state: KnownTaskState;
+	/** Highest attempt that was fenced or taken. */
+	attempt: number;
+	/** Set until the task has ended. */
+	live: LiveTask | undefined;
+	/** Set from the end until every recipient has acknowledged it. */
+	end: TaskEnd | undefined;
+	/** Entries that have not acknowledged the end yet. */
+	recipients: readonly Recipient[];
+	forgetAtMs: number;
+}
+
+const noRecipients: readonly Recipient[] = [];
+
+/** Text form of a recipient, for maps. */
+export function recipientKey(recipient: Recipient): string {
+	return `${recipient.entryId}/${recipient.incarnation}`;
+}
+
+/** Copies only the recipient, so that a record does not hold on to the row of a connection. */
+function toRecipient({ entryId, incarnation }: Recipient): Recipient {
+	return { entryId, incarnation };
+}
+
+function isSameRecipient(left: Recipient, right: Recipient): boolean {
+	return left.entryId === right.entryId && left.incarnation === right.incarnation;
+}
+
+/**
+ * Table of tasks with its indexes: the queue, the running ones, and the ends that each entry has yet to acknowledge.
+ *
+ * @example
+ * const record = tasks.get({ submissionId: 'job-1', taskIndex: 0 });
+ */
+export class TaskTable {
+	private readonly _records = new Map<string, TaskRecord>();
+	private readonly _running = new Map<number, TaskRecord>();
+	private readonly _unacknowledged = new Map<string, Set<TaskRecord>>();
+	/** Ended tasks in the order in which they are forgotten. */
+	private readonly _ended = new Set<TaskRecord>();
+	private _keptResultBytes = 0;
+
+	/** Tasks that wait for a slot, in order of arrival. */
+	queue: TaskRecord[] = [];
+
+	constructor(
+		private readonly _retentionMs: number,
+		private readonly _maxKeptResultBytes: number,
+	) {}
+
+	/** Number of identities that are remembered. */
+	get size(): number {
+		return this._records.size;
+	}
+
+	/** Bytes of results that wait for acknowledgement. */
+	get keptResultBytes(): number {
+		return this._keptResultBytes;
+	}
+
+	/** Tasks that the platform was told to start and that have not ended. */
+	get running(): IterableIterator<TaskRecord> {
+		return this._running.values();
+	}
+
+	get runningCount(): number {
+		return this._running.size;
+	}
+
+	get(identity: TaskIdentity): TaskRecord | undefined {
+		return this._records.get(taskKey(identity));
+	}
+
+	getRun(runId: number): TaskRecord | undefined {
+		return this._running.get(runId);
+	}
+
+	/** Adds a task at the end of the queue; takes the place of a fenced record of the same identity. */
+	enqueue(identity: TaskIdentity, attempt: number, live: LiveTask, recipient: Recipient): TaskRecord {
+		const record = this._put(identity, 'queued', attempt);
+		record.live = live;
+		record.recipients = [toRecipient(recipient)];
+		this.queue.push(record);
+		return record;
+	}
+
+	/** Adds the record of a task that was never started here and never will be, up to an attempt. */
+	addFenced(identity: TaskIdentity, attempt: number): TaskRecord {
+		return this._put(identity, 'queued', attempt);
+	}
+
+	/** Moves a task from the queue to the running ones. The caller removes it from {@link queue}. */
+	startRunning(record: TaskRecord, live: LiveTask, runId: number, nowMs: number): void {
+		record.state = 'running';
+		live.runId = runId;
+		live.startedAtMs = nowMs;
+		this._running.set(runId, record);
+	}
+
+	/** Ends a task, and keeps the end for its recipients. The caller removes it from {@link queue}. */
+	end(record: TaskRecord, end: TaskEnd, nowMs: number): void {
+		const runId = record.live?.runId;
+		if (runId !== undefined) {
+			this._running.delete(runId);
+		}
+		record.state = end.state === 'notStarted' ? 'fenced' : end.state;
+		record.live = undefined;
+		record.end = end;
+		record.forgetAtMs = nowMs + this._retentionMs;
+		this._ended.add(record);
+		this._keptResultBytes += resultBytes(end);
+		for (const recipient of record.recipients) {
+			this._index(record, recipient);
+		}
+		if (record.recipients.length === 0) {
+			this._dropEnd(record);
+		}
+		this._boundKeptResults();
+	}
+
+	/** Adds an entry that is to be told how the task ended. */
+	addRecipient(record: TaskRecord, recipient: Recipient): void {
+		if (record.recipients.some((known) => isSameRecipient(known, recipient))) {
+			return;
+		}
+		record.recipients = [...record.recipients, toRecipient(recipient)];
+		if (record.end !== undefined) {
+			this._index(record, recipient);
+		}
+	}
+
+	/** Forgets the end of a task for one entry, and the result when no other entry waits for it. */
+	acknowledge(record: TaskRecord, recipient: Recipient): void {
+		if (record.end === undefined) {
+			return;
+		}
+		record.recipients = record.recipients.filter((known) => !isSameRecipient(known, recipient));
+		this._unindex(record, recipient);
+		if (record.recipients.length === 0) {
+			this._dropEnd(record);
+		}
+	}
+
+	/** Ends that an entry has not acknowledged, oldest first. */
+	unacknowledgedOf(recipient: Recipient): Iterable<TaskRecord> {
+		return this._unacknowledged.get(recipientKey(recipient)) ?? [];
+	}
+
+	/** Tasks that an entry may have to know of: live ones, and ended ones that were not acknowledged. */
+	*unsettled(): Generator<TaskRecord> {
+		yield* this.queue;
+		yield* this.running;
+		const seen = new Set<TaskRecord>();
+		for (const records of this._unacknowledged.values()) {
+			for (const record of records) {
+				if (!seen.has(record)) {
+					seen.add(record);
+					yield record;
+				}
+			}
+		}
+	}
+
+	/** Forgets tasks whose retention has ended. */
+	forgetExpired(nowMs: number): void {
+		for (const record of this._ended) {
+			if (record.forgetAtMs > nowMs) {
+				return;
+			}
+			this._ended.delete(record);
+			this._settle(record);
+			this._records.delete(taskKey(record));
+		}
+	}
+
+	/** When the next task is forgotten; infinite when none is. */
+	get nextForgetAtMs(): number {
+		const [oldest] = this._ended;
+		return oldest?.forgetAtMs ?? Infinity;
+	}
+
+	private _put(identity: TaskIdentity, state: KnownTaskState, attempt: number): TaskRecord {
+		const key = taskKey(identity);
+		const earlier = this._records.get(key);
+		if (earlier !== undefined) {
+			this._ended.delete(earlier);
+			this._settle(earlier);
+		}
+		const record: TaskRecord = {
+			submissionId: identity.submissionId,
+			taskIndex: identity.taskIndex,
+			state,
+			attempt,
+			live: undefined,
+			end: undefined,
+			recipients: noRecipients,
+			forgetAtMs: Infinity,
+		};
+		this._records.set(key, record);
+		return record;
+	}
+
+	private _settle(record: TaskRecord): void {
+		for (const recipient of record.recipients) {
+			this._unindex(record, recipient);
+		}
+		this._dropEnd(record);
+	}
+
+	private _dropEnd(record: TaskRecord): void {
+		if (record.end !== undefined) {
+			this._keptResultBytes -= resultBytes(record.end);
+		}
+		record.end = undefined;
+		record.recipients = noRecipients;
+	}
+
+	private _index(record: TaskRecord, recipient: Recipient): void {
+		const key = recipientKey(recipient);
+		const records = this._unacknowledged.get(key) ?? new Set<TaskRecord>();
+		records.add(record);
+		this._unacknowledged.set(key, records);
+	}
+
+	private _unindex(record: TaskRecord, recipient: Recipient): void {
+		const key = recipientKey(recipient);
+		const records = this._unacknowledged.get(key);
+		records?.delete(record);
+		if (records?.size === 0) {
+			this._unacknowledged.delete(key);
+		}
+	}
+
+	/** Replaces the oldest kept results by `unknown` until the rest is within the limit. */
+	private _boundKeptResults(): void {
+		if (this._keptResultBytes <= this._maxKeptResultBytes) {
+			return;
+		}
+		for (const record of this._ended) {
+			if (this._keptResultBytes <= this._maxKeptResultBytes) {
+				return;
+			}
+			if (record.end?.state === 'done') {
+				this._keptResultBytes -= resultBytes(record.end);
+				record.end = { state: 'unknown', message: droppedResultMessage };
+			}
+		}
+	}
+}
+
+/** Message of a task whose result no longer is held. */
+export const droppedResultMessage =
+	'The task has ended at this agent, and its result is no longer held; give a shorter wait or smaller results.';
+
+function resultBytes(end: TaskEnd): number {
+	return end.state === 'done' ? end.resultJson.length : 0;
+}
--- /dev/null
+++ b/src/agent/node/announceServer.ts
@@ -0,0 +1,120 @@
+/** Loopback HTTP server on which the upstream announces itself. */
+
+import { createAdaptorServer, type ServerType } from '@hono/node-server';
+import { Hono, type Context } from 'hono';
+import { bodyLimit } from 'hono/body-limit';
+import type { AddressInfo } from 'node:net';
+import { Disposable, toDisposable } from '../../base/common/disposable.js';
+import { describeError } from '../../base/common/errors.js';
+import { Emitter } from '../../base/common/event.js';
+import { formatAddress, parseAddress } from '../../platform/transport/node/address.js';
+import { announcementSchema, type Announcement } from '../common/announcement.js';
+
+const maxBodyBytes = 16_384;
+
+/** What an upstream is told about itself. */
+export interface UpstreamStatus {
+	readonly agentId: string;
+	readonly agentIncarnation: string;
+	readonly upstreamId: string | undefined;
+	readonly isLeaving: boolean;
+	readonly queuedTasks: number;
+	readonly runningTasks: number;
+}
+
+/** Where the server gets its answers from. */
+export interface IUpstreamStatusSource {
+	status(): UpstreamStatus;
+	/** Why an announcement can't be taken now; undefined when it can. */
+	conflict(announcement: Announcement): string | undefined;
+}
+
+/** Takes announcements, renewals and withdrawals. */
+export class AnnounceServer extends Disposable {
+	private readonly _onDidAnnounce = this._register(new Emitter<Announcement>());
+	readonly onDidAnnounce = this._onDidAnnounce.event;
+
+	private readonly _onDidWithdraw = this._register(new Emitter<undefined>());
+	readonly onDidWithdraw = this._onDidWithdraw.event;
+
+	private readonly _server: ServerType;
+
+	private constructor(private readonly _source: IUpstreamStatusSource) {
+		super();
+		const app = new Hono();
+		const limit = bodyLimit({
+			maxSize: maxBodyBytes,
+			onError: (context) => context.json({ error: `The body exceeds ${maxBodyBytes} bytes.` }, 413),
+		});
+		app.put('/v1/upstream', limit, (context) => this._announce(context));
+		app.delete('/v1/upstream', (context) => this._withdraw(context));
+		app.get('/v1/upstream', (context) => context.json(this._source.status()));
+		this._server = createAdaptorServer({ fetch: app.fetch });
+		this._register(
+			toDisposable(() => {
+				this._server.close();
+				if ('closeAllConnections' in this._server) {
+					this._server.closeAllConnections();
+				}
+			}),
+		);
+	}
+
+	/**
+	 * Starts to listen.
+	 *
+	 * @throws Error when the address can't be bound
+	 * @example
+	 * const server = await AnnounceServer.listen('127.0.0.1:7100', source);
+	 */
+	static async listen(address: string, source: IUpstreamStatusSource): Promise<AnnounceServer> {
+		const { host, port } = parseAddress(address);
+		const announceServer = new AnnounceServer(source);
+		const server = announceServer._server;
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', (error) => {
+				reject(new Error(`announceAddress ${address} can't be bound: ${describeError(error)}.`));
+			});
+			server.listen(port, host, resolve);
+		});
+		return announceServer;
+	}
+
+	/** `address:port` that is bound. */
+	get address(): string {
+		const bound = this._server.address() as AddressInfo;
+		return formatAddress(bound.address, bound.port);
+	}
+
+	private async _announce(context: Context): Promise<Response> {
+		const body = await readJson(context);
+		const parsed = announcementSchema.safeParse(body);
+		if (!parsed.success) {
+			const errors = parsed.error.issues.map((issue) => ({
+				field: issue.path.join('.'),
+				message: issue.message,
+			}));
+			return context.json({ error: 'The announcement is not valid.', errors }, 400);
+		}
+		const conflict = this._source.conflict(parsed.data);
+		if (conflict !== undefined) {
+			return context.json({ error: conflict }, 409);
+		}
+		this._onDidAnnounce.fire(parsed.data);
+		const { agentId, agentIncarnation } = this._source.status();
+		return context.json({ agentId, agentIncarnation, ttlMs: parsed.data.ttlMs });
+	}
+
+	private _withdraw(context: Context): Response {
+		this._onDidWithdraw.fire(undefined);
+		return context.json(this._source.status(), 202);
+	}
+}
+
+async function readJson(context: Context): Promise<unknown> {
+	try {
+		return await context.req.json<unknown>();
+	} catch {
+		return undefined;
+	}
+}
--- a/src/protocol/common/agentMessages.ts
+++ b/src/protocol/common/agentMessages.ts
@@ -35,7 +35,10 @@
 	readonly isLeaving: boolean;
 	/** Highest epoch of a home entry that the agent has obeyed. */
 	readonly epoch: number;
-	/** Tasks that are queued, running or remembered; sent only in the first message of a connection. */
+	/**
+	 * Tasks that are queued, running, or ended with an outcome that was not acknowledged; sent only in the first
+	 * message of a connection. Identities that are merely remembered are left out; `fenceTasks` asks for those.
+	 */
 	readonly knownTasks: readonly KnownTask[];
 }
 
@@ -43,6 +46,12 @@
 export interface TaskStart {
 	readonly taskIndex: number;
 	readonly payloadJson: string;
+	/**
+	 * Counts the placements of the task; 0 when absent. A task that an agent answered `notStarted` is fenced there up
+	 * to this number: only a start with a greater one may run it there. A home derives the number from its epoch
+	 * (such as `epoch * 2 ** 20 + placement`), so that an earlier home can never exceed a later one.
+	 */
+	readonly attempt?: number | undefined;
 }
 
 /** Tasks of one submission to start. */
@@ -64,6 +73,11 @@
 	readonly revision: number;
 	/** Epoch under which the sender is the pool's home; an agent that knows a later one refuses. */
 	readonly epoch: number;
+	/**
+	 * Greatest possible age of the sender's tables. When both it and the agent's own exceed the agent's limit, neither
+	 * would know of a drain, and the agent refuses. Absent: the sender vouches for its own freshness.
+	 */
+	readonly ageMs?: number | undefined;
 	readonly batches: readonly StartBatch[];
 }
 
@@ -74,11 +88,21 @@
 	readonly tasks: readonly TaskIdentity[];
 }
 
-/** Asks an agent what became of tasks whose starts may be lost; it fences those that it never heard of. */
+/**
+ * Asks an agent what became of tasks whose starts may be lost. It fences those that it never heard of and those
+ * that are still queued, answers with what is known of ended ones, and answers running ones when they end.
+ */
 export interface FenceTasksMessage {
 	readonly kind: 'fenceTasks';
 	readonly revision: number;
 	readonly epoch: number;
+	/**
+	 * Incarnation of the agent that the starts were sent to. An agent of another incarnation has no memory of them
+	 * and answers `unknown` for those that it never heard of. Absent: this incarnation.
+	 */
+	readonly agentIncarnation?: string | undefined;
+	/** Fences attempts up to this one; every attempt when absent. */
+	readonly attempt?: number | undefined;
 	readonly tasks: readonly TaskIdentity[];
 }
 
@@ -99,7 +123,15 @@
 	| 'cancelled'
 	| 'fenced'
 	| 'otherPool'
-	| 'doesNotFit';
+	| 'doesNotFit'
+	/** The upstream itself refused, or could not be connected to, before anything was sent to it. */
+	| 'upstreamRefused'
+	/** The connection that the start came on was lost while the task was queued. */
+	| 'connectionLost'
+	/** Neither the sender's tables nor the agent's are fresh enough to rule out a drain. */
+	| 'staleTables'
+	/** The agent remembers as many identities as it may; forgetting one early could start a task twice. */
+	| 'identitiesFull';
 
 /** How a task ended. */
 export type TaskEnd =
--- /dev/null
+++ b/src/standins/node/fileJournal.ts
@@ -0,0 +1,24 @@
+/** Journal in a file, one JSON line an event. */
+
+import { closeSync, openSync, writeSync } from 'node:fs';
+import { Disposable, toDisposable } from '../../base/common/disposable.js';
+import type { IJournal, JournalEvent } from '../common/journal.js';
+
+/** Appends each event with one write, so that a SIGKILL loses none that was recorded. */
+export class FileJournal extends Disposable implements IJournal {
+	private readonly _descriptor: number;
+
+	constructor(file: string) {
+		super();
+		this._descriptor = openSync(file, 'a');
+		this._register(
+			toDisposable(() => {
+				closeSync(this._descriptor);
+			}),
+		);
+	}
+
+	record(event: JournalEvent): void {
+		writeSync(this._descriptor, `${JSON.stringify(event)}\n`);
+	}
+}
--- /dev/null
+++ b/src/standins/node/standinTask.ts
@@ -0,0 +1,57 @@
+/** One running task of the stand-in: a timer that throttling slows down. */
+
+import { Deferred } from '../../base/common/async.js';
+import type { TaskIdentity } from '../../protocol/common/jobs.js';
+import type { TaskRequest } from '../common/upstreamOptions.js';
+
+/** How a task of the stand-in ended. */
+export type StandinTaskEnd = 'end' | 'fail' | 'stop' | 'abort';
+
+/** A running task. */
+export class StandinTask {
+	private readonly _ended = new Deferred<StandinTaskEnd>();
+	/** Resolves when the task ends; never rejects. */
+	readonly ended = this._ended.promise;
+	readonly startedAtMs = performance.now();
+	private _remainingMs: number;
+	private _share = 1;
+	private _resumedAtMs = performance.now();
+	private _timer: NodeJS.Timeout;
+
+	constructor(
+		readonly identity: TaskIdentity,
+		readonly request: TaskRequest,
+		runMs: number,
+		private readonly _plannedEnd: 'end' | 'fail',
+	) {
+		this._remainingMs = runMs;
+		this._timer = this._schedule();
+	}
+
+	/** Share of a processor that the task gets. */
+	get share(): number {
+		return this._share;
+	}
+
+	/** Slows the task down, or releases it with a share of 1. */
+	throttle(share: number): void {
+		const nowMs = performance.now();
+		this._remainingMs = Math.max(0, this._remainingMs - (nowMs - this._resumedAtMs) * this._share);
+		this._resumedAtMs = nowMs;
+		this._share = Math.max(share, 0.01);
+		clearTimeout(this._timer);
+		this._timer = this._schedule();
+	}
+
+	/** Ends the task early. */
+	finish(end: StandinTaskEnd): void {
+		clearTimeout(this._timer);
+		this._ended.resolve(end);
+	}
+
+	private _schedule(): NodeJS.Timeout {
+		return setTimeout(() => {
+			this.finish(this._plannedEnd);
+		}, this._remainingMs / this._share);
+	}
+}
--- /dev/null
+++ b/src/standins/node/standinUpstream.ts
@@ -0,0 +1,202 @@
+/** Stand-in upstream: takes tasks over HTTP as docs/UPSTREAMS.md describes, and waits instead of working. */
+
+import { createAdaptorServer, type ServerType } from '@hono/node-server';
+import { Hono, type Context } from 'hono';
+import type { ContentfulStatusCode } from 'hono/utils/http-status';
+import type { AddressInfo } from 'node:net';
+import { delay } from '../../base/common/async.js';
+import { Disposable, toDisposable } from '../../base/common/disposable.js';
+import { describeError } from '../../base/common/errors.js';
+import { SeededRandom } from '../../base/common/random.js';
+import type { IDaemon } from '../../platform/daemon/node/daemon.js';
+import type { ILogService } from '../../platform/log/common/log.js';
+import { formatAddress, parseAddress } from '../../platform/transport/node/address.js';
+import { taskKey, type TaskIdentity } from '../../protocol/common/jobs.js';
+import type { IJournal, JournalEventName } from '../common/journal.js';
+import {
+	taskRequestSchema,
+	type StandinResult,
+	type TaskRequest,
+	type UpstreamOptions,
+} from '../common/upstreamOptions.js';
+import { Announcer } from './announcer.js';
+import { StandinTask } from './standinTask.js';
+
+const drainPollMs = 20;
+
+/** A running stand-in upstream. */
+export class StandinUpstream extends Disposable implements IDaemon {
+	private readonly _tasks = new Map<string, StandinTask>();
+	private readonly _random: SeededRandom;
+	private readonly _server: ServerType;
+	private _announcer: Announcer | undefined;
+
+	private constructor(
+		private readonly _options: UpstreamOptions,
+		private readonly _journal: IJournal,
+		private readonly _log: ILogService,
+	) {
+		super();
+		this._random = new SeededRandom(_options.seed);
+		const app = new Hono();
+		app.post('/v1/tasks/:submissionId/:taskIndex', (context) => this._start(context));
+		app.delete('/v1/tasks/:submissionId/:taskIndex', (context) => this._stop(context));
+		app.post('/v1/tasks/:submissionId/:taskIndex/throttle', (context) => this._throttle(context));
+		app.post('/v1/tasks/:submissionId/:taskIndex/checkpoint', (context) => this._checkpoint(context));
+		app.get('/v1/usage', (context) => context.json({ tasks: this._usage() }));
+		this._server = createAdaptorServer({ fetch: app.fetch });
+		this._register(
+			toDisposable(() => {
+				this._server.close();
+				if ('closeAllConnections' in this._server) {
+					this._server.closeAllConnections();
+				}
+			}),
+		);
+	}
+
+	/**
+	 * Starts a stand-in and announces it.
+	 *
+	 * @throws Error when the address can't be bound
+	 * @example
+	 * const upstream = await StandinUpstream.start(options, nullJournal, log);
+	 */
+	static async start(
+		options: UpstreamOptions,
+		journal: IJournal,
+		log: ILogService,
+	): Promise<StandinUpstream> {
+		const upstream = new StandinUpstream(options, journal, log);
+		const { host, port } = parseAddress(options.httpAddress);
+		const server = upstream._server;
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', (error) => {
+				reject(new Error(`The address ${options.httpAddress} can't be bound: ${describeError(error)}.`));
+			});
+			server.listen(port, host, resolve);
+		});
+		const httpAddress = upstream.httpAddress;
+		upstream._announcer = upstream._register(new Announcer(options, httpAddress, log));
+		log.info('process.ready', { httpAddress, upstreamId: options.upstreamId });
+		return upstream;
+	}
+
+	/** `address:port` that tasks are taken on. */
+	get httpAddress(): string {
+		const bound = this._server.address() as AddressInfo;
+		return formatAddress(bound.address, bound.port);
+	}
+
+	async drain(): Promise<void> {
+		await this._announcer?.withdraw();
+		while (this._tasks.size > 0) {
+			await delay(drainPollMs);
+		}
+	}
+
+	private async _start(context: Context): Promise<Response> {
+		const identity = identityOf(context);
+		const key = taskKey(identity);
+		if (this._random.next() < this._options.refuseShare) {
+			this._record('refuse', context, identity);
+			return context.json({ error: 'Refused at random.' }, 503, { 'yuccaarch-not-started': 'true' });
+		}
+		// Recorded before anything can fail: an auditor counts these lines.
+		this._record('start', context, identity);
+		const payload = await context.req.json<unknown>();
+		const parsed = taskRequestSchema.safeParse(payload);
+		const task = this._createTask(identity, parsed.success ? parsed.data : {});
+		this._tasks.set(key, task);
+		const signal = context.req.raw.signal;
+		signal.addEventListener('abort', () => {
+			task.finish('abort');
+		});
+		const end = await task.ended;
+		this._tasks.delete(key);
+		this._record(end, context, identity);
+		return this._answer(context, task, payload, end);
+	}
+
+	private _answer(context: Context, task: StandinTask, payload: unknown, end: string): Response {
+		if (end !== 'end') {
+			const status: ContentfulStatusCode = end === 'fail' ? 500 : 410;
+			return context.json({ error: `The task ended by "${end}".` }, status);
+		}
+		const { resultBytes } = task.request;
+		const result: StandinResult = {
+			...task.identity,
+			upstreamId: this._options.upstreamId,
+			echo: payload,
+			padding: resultBytes === undefined ? undefined : 'x'.repeat(resultBytes),
+		};
+		return context.json(result);
+	}
+
+	private _createTask(identity: TaskIdentity, request: TaskRequest): StandinTask {
+		const { defaultRunMs, slowShare, slowFactor, failShare } = this._options;
+		const isSlow = this._random.next() < slowShare;
+		const fails = request.fail === true || this._random.next() < failShare;
+		const runMs = (request.runMs ?? defaultRunMs) * (isSlow ? slowFactor : 1);
+		return new StandinTask(identity, request, runMs, fails ? 'fail' : 'end');
+	}
+
+	private _stop(context: Context): Response {
+		const identity = identityOf(context);
+		const task = this._tasks.get(taskKey(identity));
+		if (task === undefined) {
+			return context.json({ error: 'No such task is running.' }, 404);
+		}
+		if (this._random.next() < this._options.ignoreStopShare) {
+			return context.json({ error: 'The task can not be stopped now.' }, 409);
+		}
+		task.finish('stop');
+		return context.json({});
+	}
+
+	private async _throttle(context: Context): Promise<Response> {
+		const identity = identityOf(context);
+		const { share } = await context.req.json<{ share: number }>();
+		this._tasks.get(taskKey(identity))?.throttle(share);
+		this._record('throttle', context, identity, share);
+		return context.json({});
+	}
+
+	private _checkpoint(context: Context): Response {
+		this._record('checkpoint', context, identityOf(context));
+		return context.json({});
+	}
+
+	/** Use of the tasks that ran already when the lagging measurement was made. */
+	private _usage(): readonly object[] {
+		const measuredAtMs = performance.now() - this._options.usageLagMs;
+		return [...this._tasks.values()]
+			.filter((task) => task.startedAtMs <= measuredAtMs)
+			.map(({ identity, request, share }) => ({
+				...identity,
+				cores: (request.cores ?? 1) * share,
+				memoryBytes: request.memoryBytes ?? 0,
+				ageMs: this._options.usageLagMs,
+			}));
+	}
+
+	private _record(event: JournalEventName, context: Context, identity: TaskIdentity, share?: number): void {
+		this._journal.record({
+			timeMs: Date.now(),
+			event,
+			...identity,
+			upstreamId: this._options.upstreamId,
+			route: context.req.header('yuccaarch-route') ?? '',
+			team: context.req.header('yuccaarch-team') ?? '',
+			share,
+		});
+		this._log.debug(`task.${event}`, { ...identity });
+	}
+}
+
+function identityOf(context: Context): TaskIdentity {
+	return {
+		submissionId: context.req.param('submissionId') ?? '',
+		taskIndex: Number(context.req.param('taskIndex')),
+	};
+}
