Add the proof harness: local processes and systems, a TCP fault proxy and the auditor

- LocalProcess runs a Node child: log events, signals, exit.
- Ports are reserved through abstract Unix sockets named after the port: the kernel keeps them exclusive and frees them.
Lock files go stale.
- FaultProxy: delays with kept order, one-way cuts that close nothing, freezes, breaks, breaks after n bytes, refusals, each for all or one named client.
Timers of Node count whole milliseconds, so PreciseTimer sleeps for the whole part and polls for the rest.
- Auditor: pure; counts doubleStarts, partialAnswers, untrueRefusals, crossedAnswers, cutRequests, lateStarts, revertedChanges.

LocalSystem compiles against the settings schemas; the daemons don't exist yet, so starting a whole system is not tested in this commit.

--- /dev/null
+++ b/src/proof/common/auditor.ts
@@ -0,0 +1,250 @@
+/** Compares what upstreams ran with what readers were told, and counts broken promises. */
+
+import type {
+	AuditInput,
+	AuditReport,
+	Breach,
+	Leaving,
+	PromiseName,
+	ReaderOutcome,
+	ReaderRecord,
+	RevisionObservation,
+	StartRecord,
+} from './auditRecords.js';
+
+/** Time after its leaving within which an upstream may still get starts. */
+export const leavingGraceMs = 2000;
+
+/** Time within which an accepted change must be in force in every process. */
+export const inForceLimitMs = 3000;
+
+/**
+ * Audits one run.
+ *
+ * @example
+ * const report = audit({ starts: readJournals(system.journalFiles), readers: readers.records });
+ * t.deepEqual(report.breaches, []);
+ */
+export function audit(input: AuditInput): AuditReport {
+	const startsByToken = groupBy(input.starts, (start) => start.token);
+	const breaches = [
+		...findDoubleStarts(startsByToken),
+		...input.readers.flatMap((record) => findPartialAnswer(record)),
+		...input.readers.flatMap((record) => findCrossedAnswer(record)),
+		...findUntrueRefusals(input.readers, startsByToken),
+		...findCutRequests(input),
+		...findLateStarts(input.starts, input.leavings ?? []),
+		...findRevertedChanges(input),
+	];
+	return {
+		counts: countBreaches(breaches),
+		breaches,
+		outcomes: countOutcomes(input.readers),
+		starts: input.starts.length,
+		refusalsBesideOtherAttempt: countRefusalsBesideOtherAttempt(input.readers, startsByToken),
+	};
+}
+
+function findDoubleStarts(startsByToken: ReadonlyMap<string, readonly StartRecord[]>): Breach[] {
+	const breaches: Breach[] = [];
+	for (const [token, starts] of startsByToken) {
+		const upstreams = starts.map((start) => start.upstream).join(', ');
+		for (let extra = 1; extra < starts.length; extra += 1) {
+			breaches.push(
+				breach('doubleStarts', `Task ${token} was started ${starts.length} times: ${upstreams}.`),
+			);
+		}
+	}
+	return breaches;
+}
+
+function findPartialAnswer(record: ReaderRecord): Breach[] {
+	if (record.outcome.kind !== 'complete') {
+		return [];
+	}
+	const { echoedTokens } = record.outcome;
+	const missing = echoedTokens.filter((token) => token === undefined).length;
+	if (echoedTokens.length === record.tokens.length && missing === 0) {
+		return [];
+	}
+	const got = echoedTokens.length - missing;
+	return [breach('partialAnswers', `${describeJob(record)} has ${got} of ${record.tokens.length} results.`)];
+}
+
+function findCrossedAnswer(record: ReaderRecord): Breach[] {
+	if (record.outcome.kind !== 'complete') {
+		return [];
+	}
+	const wrong = record.outcome.echoedTokens.find(
+		(token, index) => token !== undefined && token !== record.tokens[index],
+	);
+	if (wrong === undefined) {
+		return [];
+	}
+	return [breach('crossedAnswers', `${describeJob(record)} got the result of task ${wrong}.`)];
+}
+
+/** A start belongs to a refused attempt when no other attempt that was not refused can have caused it. */
+function findUntrueRefusals(
+	readers: readonly ReaderRecord[],
+	startsByToken: ReadonlyMap<string, readonly StartRecord[]>,
+): Breach[] {
+	const runningAttempts = groupAttemptsByToken(readers.filter(mayHaveStarted));
+	const breaches: Breach[] = [];
+	for (const record of readers) {
+		if (record.outcome.kind !== 'notRun') {
+			continue;
+		}
+		const started = record.tokens.filter((token) => {
+			const others = runningAttempts.get(token) ?? [];
+			return (startsByToken.get(token) ?? []).some(
+				(start) => !others.some((other) => other.sentAtMs <= start.atMs),
+			);
+		});
+		if (started.length > 0) {
+			const { reason } = record.outcome;
+			breaches.push(
+				breach('untrueRefusals', `${describeJob(record)} was refused (${reason}) but started ${started[0]}.`),
+			);
+		}
+	}
+	return breaches;
+}
+
+function countRefusalsBesideOtherAttempt(
+	readers: readonly ReaderRecord[],
+	startsByToken: ReadonlyMap<string, readonly StartRecord[]>,
+): number {
+	return readers.filter(
+		(record) =>
+			record.outcome.kind === 'notRun' &&
+			record.tokens.some((token) =>
+				(startsByToken.get(token) ?? []).some((start) => start.atMs < record.endedAtMs),
+			),
+	).length;
+}
+
+function findCutRequests(input: AuditInput): Breach[] {
+	const faults = input.entryFaults ?? [];
+	const cut = input.readers.filter(
+		(record) =>
+			record.outcome.kind === 'noAnswer' &&
+			!faults.some(
+				(fault) =>
+					fault.entry === record.entry &&
+					fault.fromMs <= record.endedAtMs &&
+					fault.untilMs >= record.sentAtMs,
+			),
+	);
+	return cut.map((record) => {
+		const message = record.outcome.kind === 'noAnswer' ? record.outcome.message : '';
+		return breach('cutRequests', `${describeJob(record)} got no answer: ${message}`);
+	});
+}
+
+function findLateStarts(starts: readonly StartRecord[], leavings: readonly Leaving[]): Breach[] {
+	return leavings.flatMap((leaving) => {
+		const lastMs = leaving.leftAtMs + leavingGraceMs;
+		const returnedMs = leaving.returnedAtMs ?? Infinity;
+		return starts
+			.filter(
+				(start) => start.upstream === leaving.upstream && start.atMs > lastMs && start.atMs < returnedMs,
+			)
+			.map((start) => {
+				const lateMs = Math.round(start.atMs - leaving.leftAtMs);
+				const text = `${leaving.upstream} got task ${start.token} ${lateMs} ms after it left.`;
+				return breach('lateStarts', text);
+			});
+	});
+}
+
+function findRevertedChanges(input: AuditInput): Breach[] {
+	const observations = [...(input.observations ?? [])].sort((a, b) => a.atMs - b.atMs);
+	const highestByRun = new Map<string, number>();
+	const breaches: Breach[] = [];
+	for (const observation of observations) {
+		const run = `${observation.processId}/${observation.incarnation}`;
+		const highest = highestByRun.get(run) ?? 0;
+		highestByRun.set(run, Math.max(highest, observation.revision));
+		const due = dueRevision(observation, input);
+		if (observation.revision < highest || observation.revision < due) {
+			breaches.push(
+				breach(
+					'revertedChanges',
+					`${observation.processId} had revision ${observation.revision} in force, not ${Math.max(highest, due)}.`,
+				),
+			);
+		}
+	}
+	return breaches;
+}
+
+/** The newest revision that was accepted so long ago that every process must have it in force. */
+function dueRevision(observation: RevisionObservation, input: AuditInput): number {
+	const due = (input.changes ?? []).filter(
+		(change) => change.acceptedAtMs + inForceLimitMs < observation.atMs,
+	);
+	return due.reduce((highest, change) => Math.max(highest, change.revision), 0);
+}
+
+/** Whether an attempt can have started its tasks, as far as its reader was told. */
+function mayHaveStarted(record: ReaderRecord): boolean {
+	return record.outcome.kind !== 'notRun' && record.outcome.kind !== 'badRequest';
+}
+
+function groupAttemptsByToken(records: readonly ReaderRecord[]): ReadonlyMap<string, ReaderRecord[]> {
+	const grouped = new Map<string, ReaderRecord[]>();
+	for (const record of records) {
+		for (const token of record.tokens) {
+			grouped.set(token, [...(grouped.get(token) ?? []), record]);
+		}
+	}
+	return grouped;
+}
+
+function groupBy<T>(values: readonly T[], keyOf: (value: T) => string): Map<string, T[]> {
+	const grouped = new Map<string, T[]>();
+	for (const value of values) {
+		const key = keyOf(value);
+		const group = grouped.get(key);
+		if (group === undefined) {
+			grouped.set(key, [value]);
+		} else {
+			group.push(value);
+		}
+	}
+	return grouped;
+}
+
+function countBreaches(breaches: readonly Breach[]): Record<PromiseName, number> {
+	const counts: Record<PromiseName, number> = {
+		doubleStarts: 0,
+		partialAnswers: 0,
+		untrueRefusals: 0,
+		crossedAnswers: 0,
+		cutRequests: 0,
+		lateStarts: 0,
+		revertedChanges: 0,
+	};
+	for (const { promise } of breaches) {
+		counts[promise] += 1;
+	}
+	return counts;
+}
+
+function countOutcomes(readers: readonly ReaderRecord[]): Record<ReaderOutcome['kind'], number> {
+	const counts = { complete: 0, failed: 0, notRun: 0, badRequest: 0, noAnswer: 0, left: 0 };
+	for (const record of readers) {
+		counts[record.outcome.kind] += 1;
+	}
+	return counts;
+}
+
+function breach(promise: PromiseName, description: string): Breach {
+	return { promise, description };
+}
+
+function describeJob(record: ReaderRecord): string {
+	const first = record.tokens[0] ?? 'without tasks';
+	return `The job of task ${first} at ${record.entry}`;
+}
--- /dev/null
+++ b/src/proof/node/exitWithParent.ts
@@ -0,0 +1,17 @@
+/**
+ * Loaded into each child of the harness by `node --import`: ends the child when its parent is gone.
+ *
+ * The parent holds the other end of the child's standard input and never writes to it. It closes however the
+ * parent ends, also by SIGKILL, so no process of a test or of the demo is left behind.
+ */
+
+import { Socket } from 'node:net';
+
+const standardInput = new Socket({ fd: 0, readable: true, writable: false });
+const onGone = (): void => {
+	process.kill(process.pid, 'SIGKILL');
+};
+standardInput.on('end', onGone);
+standardInput.on('error', onGone);
+standardInput.resume();
+standardInput.unref();
--- /dev/null
+++ b/src/proof/node/identifyClient.ts
@@ -0,0 +1,21 @@
+/** Names the process at the client's end of a proxied connection. */
+
+import { defaultConnectionLimits } from '../../platform/transport/common/transport.js';
+import { FrameDecoder } from '../../platform/transport/common/frameCodec.js';
+import { isHello } from '../../platform/transport/node/handshake.js';
+
+/**
+ * Reads the `processId` from the hello frame that opens each connection between the system's processes.
+ *
+ * @example
+ * FaultProxy.listen({ target, identifyClient: identifyByHello });
+ */
+export function identifyByHello(firstBytes: Buffer): string | undefined {
+	const decoder = new FrameDecoder(defaultConnectionLimits.maxFrameBytes);
+	try {
+		const [hello] = decoder.push(firstBytes);
+		return hello !== undefined && isHello(hello) ? hello.identity.processId : undefined;
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/proof/node/localSystem.ts
@@ -0,0 +1,343 @@
+/** A whole system of real processes on loopback: keepers, entries, agents and stand-in upstreams. */
+
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { waitFor } from '../../base/common/async.js';
+import { Disposable, toDisposable } from '../../base/common/disposable.js';
+import { FaultProxy, type LinkDelays } from './faultProxy.js';
+import { identifyByHello } from './identifyClient.js';
+import {
+	LocalAgent,
+	LocalEntry,
+	LocalKeeper,
+	LocalUpstream,
+	writeSettings,
+	type LocalDaemon,
+} from './localDaemon.js';
+import { LocalProcessError } from './localProcess.js';
+import { reservePort } from './portReservation.js';
+import { PreciseTimer } from './preciseTimer.js';
+
+/** Addresses before which a proxy can stand. */
+export type ProxiedAddress = 'keeperPeer' | 'entryPeer' | 'entryHttp';
+
+/** An agent and the stand-in upstream beside it. */
+export interface AgentPlan {
+	/** Pool that the upstream announces. */
+	readonly pool: string;
+	/** Tasks that the upstream runs at the same time; 8 by default. */
+	readonly slots?: number;
+	/** Data centre; by default the agents are dealt out over the system's data centres. */
+	readonly dataCentre?: string;
+	/** Rack; by default three agents share one. */
+	readonly rack?: string;
+	/** Further flags of `yuccaarch upstream`. */
+	readonly upstreamArgs?: readonly string[];
+	/** Settings that are put over the usual ones. */
+	readonly settings?: object;
+}
+
+/** What a system consists of. */
+export interface LocalSystemOptions {
+	readonly keepers: number;
+	readonly entries: number;
+	readonly agents: readonly AgentPlan[];
+	/** Data centres that the processes are dealt out over; 1 by default. */
+	readonly dataCentres?: number;
+	/** Addresses before which a {@link FaultProxy} stands; none by default. */
+	readonly proxies?: readonly ProxiedAddress[];
+	/** One-way delays of the proxies from the start. */
+	readonly delays?: Partial<Readonly<Record<ProxiedAddress, LinkDelays>>>;
+	/** Settings that are put over the usual ones of every keeper. */
+	readonly keeperSettings?: object;
+	/** Settings that are put over the usual ones of every entry. */
+	readonly entrySettings?: object;
+	/** Settings that are put over the usual ones of every agent. */
+	readonly agentSettings?: object;
+}
+
+const sharedSecret = 'a-shared-secret-for-loopback';
+
+/** Token of the operators in every local system. */
+export const localOperatorToken = 'an-operator-token-for-loopback';
+
+const readyTimeoutMs = 20_000;
+
+const agentsPerRack = 3;
+
+/** A killed process may still be writing while its folder is removed. */
+const folderRemovalRetries = 10;
+
+interface ProcessSettings {
+	readonly processId: string;
+	readonly dataCentre: string;
+	readonly sharedSecret: string;
+}
+
+interface ReservedKeeper {
+	readonly name: string;
+	readonly boundAddress: string;
+	readonly peerAddress: string;
+	readonly peerProxy: FaultProxy | undefined;
+}
+
+/**
+ * Owns the processes, proxies, ports and folders of one system. Disposing it kills every process that still runs.
+ *
+ * @example
+ * const system = await LocalSystem.start({ keepers: 1, entries: 2, agents: [{ pool: 'ledger' }] }, declaration);
+ * const response = await fetch(`${system.entries[0].url}/v1/routes/terms/jobs`, { method: 'POST', body });
+ * await system.drain();
+ * await system.close();
+ */
+export class LocalSystem extends Disposable {
+	private readonly _timer = this._register(new PreciseTimer());
+	private _keeperEndpoints: readonly { processId: string; address: string }[] = [];
+	private readonly _keepers: LocalKeeper[] = [];
+	private readonly _entries: LocalEntry[] = [];
+	private readonly _agents: LocalAgent[] = [];
+
+	private constructor(
+		/** Folder of settings, journals and data; removed with the system. */
+		readonly folder: string,
+		private readonly _options: LocalSystemOptions,
+	) {
+		super();
+		this._register(
+			toDisposable(() => {
+				rmSync(folder, { recursive: true, force: true, maxRetries: folderRemovalRetries });
+			}),
+		);
+	}
+
+	/** The keepers, `keeper-1` first. */
+	get keepers(): readonly LocalKeeper[] {
+		return this._keepers;
+	}
+
+	/** The entries, `entry-1` first. */
+	get entries(): readonly LocalEntry[] {
+		return this._entries;
+	}
+
+	/** The agents, `agent-1` first, each with its upstream. */
+	get agents(): readonly LocalAgent[] {
+		return this._agents;
+	}
+
+	/** Paths of the upstreams' journals. */
+	get journalFiles(): readonly string[] {
+		return this._agents.map((agent) => agent.upstream.journalFile);
+	}
+
+	/**
+	 * Starts every process and waits until each says that it is ready.
+	 *
+	 * @throws LocalProcessError when one of them doesn't get ready; nothing is left behind then
+	 */
+	static async start(options: LocalSystemOptions): Promise<LocalSystem> {
+		const system = new LocalSystem(mkdtempSync(path.join(tmpdir(), 'yuccaarch-')), options);
+		try {
+			await system._startAll();
+		} catch (error) {
+			await system.close();
+			throw error;
+		}
+		return system;
+	}
+
+	/** Waits until every entry tells the balancer that it is ready. */
+	async waitUntilServing(timeoutMs = readyTimeoutMs): Promise<void> {
+		for (const entry of this._entries) {
+			await waitFor(`${entry.name} is ready for readers`, timeoutMs, () => isServing(entry));
+		}
+	}
+
+	/** Starts one more agent with its upstream. */
+	async addAgent(plan: AgentPlan): Promise<LocalAgent> {
+		const agent = await this._createAgent(plan, this._agents.length);
+		this._agents.push(agent);
+		await startAgent(agent);
+		return agent;
+	}
+
+	/**
+	 * Drains every process that still runs by SIGTERM: entries, upstreams, agents, keepers.
+	 *
+	 * @throws LocalProcessError when one of them doesn't end with code 0
+	 */
+	async drain(): Promise<void> {
+		await drainTogether(this._entries);
+		await drainTogether(this._agents.map((agent) => agent.upstream));
+		await drainTogether(this._agents);
+		await drainTogether(this._keepers);
+	}
+
+	/** Kills what still runs, waits for its end, and removes every file. */
+	async close(): Promise<void> {
+		const agents = this._agents.flatMap((agent) => [agent, agent.upstream]);
+		const running = [...this._entries, ...agents, ...this._keepers].filter((daemon) => daemon.isRunning);
+		await Promise.all(running.map((daemon) => daemon.kill()));
+		this.dispose();
+	}
+
+	private async _startAll(): Promise<void> {
+		await this._startKeepers();
+		for (const [index, plan] of this._options.agents.entries()) {
+			this._agents.push(await this._createAgent(plan, index));
+		}
+		for (let index = 0; index < this._options.entries; index += 1) {
+			this._entries.push(await this._createEntry(index));
+		}
+		await Promise.all([
+			...this._agents.map((agent) => startAgent(agent)),
+			...this._entries.map((entry) => entry.start()),
+		]);
+	}
+
+	private async _startKeepers(): Promise<void> {
+		const reserved: ReservedKeeper[] = [];
+		for (let index = 0; index < this._options.keepers; index += 1) {
+			reserved.push(await this._reserveKeeper(`keeper-${index + 1}`));
+		}
+		this._keeperEndpoints = reserved.map(({ name, peerAddress }) => ({
+			processId: name,
+			address: peerAddress,
+		}));
+		for (const [index, keeper] of reserved.entries()) {
+			this._keepers.push(await this._createKeeper(keeper, index));
+		}
+		await Promise.all(this._keepers.map((keeper) => keeper.start()));
+	}
+
+	private async _reserveKeeper(name: string): Promise<ReservedKeeper> {
+		const boundAddress = await this._reserveAddress();
+		const peerProxy = await this._createProxy('keeperPeer', boundAddress);
+		return { name, boundAddress, peerProxy, peerAddress: peerProxy?.address ?? boundAddress };
+	}
+
+	private async _createKeeper(reserved: ReservedKeeper, index: number): Promise<LocalKeeper> {
+		const { name, boundAddress, peerAddress, peerProxy } = reserved;
+		const operatorAddress = await this._reserveAddress();
+		const dataFolder = path.join(this.folder, `${name}-data`);
+		const file = writeSettings(this.folder, name, {
+			...this._processSettings(name, index),
+			peerAddress: boundAddress,
+			operatorAddress,
+			operatorToken: localOperatorToken,
+			dataFolder,
+			members: this._keeperEndpoints,
+			...this._options.keeperSettings,
+		});
+		const options = { name, role: 'keeper', args: [file] } as const;
+		return this._register(new LocalKeeper(options, peerAddress, operatorAddress, dataFolder, peerProxy));
+	}
+
+	private async _createEntry(index: number): Promise<LocalEntry> {
+		const name = `entry-${index + 1}`;
+		const httpAddress = await this._reserveAddress();
+		const peerAddress = await this._reserveAddress();
+		const httpProxy = await this._createProxy('entryHttp', httpAddress);
+		const peerProxy = await this._createProxy('entryPeer', peerAddress);
+		const file = writeSettings(this.folder, name, {
+			...this._processSettings(name, index),
+			httpAddress,
+			peerAddress,
+			...(peerProxy === undefined ? {} : { advertisedPeerAddress: peerProxy.address }),
+			keepers: this._keeperEndpoints,
+			...this._options.entrySettings,
+		});
+		const options = { name, role: 'entry', args: [file] } as const;
+		const readerAddress = httpProxy?.address ?? httpAddress;
+		return this._register(new LocalEntry(options, readerAddress, httpProxy, peerProxy));
+	}
+
+	private async _createAgent(plan: AgentPlan, index: number): Promise<LocalAgent> {
+		const name = `agent-${index + 1}`;
+		const announceAddress = await this._reserveAddress();
+		const place = this._processSettings(name, index);
+		const file = writeSettings(this.folder, name, {
+			...place,
+			dataCentre: plan.dataCentre ?? place.dataCentre,
+			rack: plan.rack ?? `rack-${Math.floor(index / agentsPerRack) + 1}`,
+			announceAddress,
+			keepers: this._keeperEndpoints,
+			...this._options.agentSettings,
+			...plan.settings,
+		});
+		const upstream = this._createUpstream(plan, announceAddress, index);
+		const options = { name, role: 'agent', args: [file] } as const;
+		return this._register(new LocalAgent(options, announceAddress, plan.pool, upstream));
+	}
+
+	private _createUpstream(plan: AgentPlan, announceAddress: string, index: number): LocalUpstream {
+		const name = `upstream-${index + 1}`;
+		const journalFile = path.join(this.folder, `${name}.journal`);
+		const args = [
+			'--announce',
+			announceAddress,
+			'--pool',
+			plan.pool,
+			'--slots',
+			String(plan.slots ?? 8),
+			'--journal',
+			journalFile,
+			...(plan.upstreamArgs ?? []),
+		];
+		return this._register(new LocalUpstream({ name, role: 'upstream', args }, journalFile));
+	}
+
+	private _processSettings(processId: string, index: number): ProcessSettings {
+		const dataCentre = `dc-${(index % (this._options.dataCentres ?? 1)) + 1}`;
+		return { processId, dataCentre, sharedSecret };
+	}
+
+	private async _reserveAddress(): Promise<string> {
+		return this._register(await reservePort()).address;
+	}
+
+	private async _createProxy(place: ProxiedAddress, target: string): Promise<FaultProxy | undefined> {
+		if (this._options.proxies?.includes(place) !== true) {
+			return undefined;
+		}
+		const delays = this._options.delays?.[place];
+		const proxy = await FaultProxy.listen({
+			target,
+			timer: this._timer,
+			...(delays === undefined ? {} : { delays }),
+			...(place === 'entryHttp' ? {} : { identifyClient: identifyByHello }),
+		});
+		return this._register(proxy);
+	}
+}
+
+async function startAgent(agent: LocalAgent): Promise<void> {
+	await agent.start();
+	await agent.upstream.start();
+}
+
+async function isServing(entry: LocalEntry): Promise<boolean> {
+	try {
+		const response = await fetch(`${entry.url}/readyz`);
+		await response.body?.cancel();
+		return response.ok;
+	} catch {
+		return false;
+	}
+}
+
+async function drainTogether(daemons: readonly LocalDaemon[]): Promise<void> {
+	const running = daemons.filter((daemon) => daemon.isRunning);
+	await Promise.all(running.map((daemon) => drainOne(daemon)));
+}
+
+async function drainOne(daemon: LocalDaemon): Promise<void> {
+	const exit = await daemon.stop();
+	if (exit.code !== 0) {
+		const events = daemon.process.events.slice(-5).map((line) => JSON.stringify(line));
+		throw new LocalProcessError(
+			`${daemon.name} ended with ${JSON.stringify(exit)} instead of code 0.\n${events.join('\n')}`,
+		);
+	}
+}
--- /dev/null
+++ b/src/proof/node/proxiedConnection.ts
@@ -0,0 +1,184 @@
+/** One connection through a fault proxy: two sockets, and a queue of delayed chunks for each direction. */
+
+import type { Socket } from 'node:net';
+import type { PreciseTimer } from './preciseTimer.js';
+import type { LinkDirection, LinkState } from './faultProxy.js';
+
+/** Bytes that may wait in one direction before the proxy stops reading, as a full network would. */
+const maxQueuedBytes = 64 * 1024 * 1024;
+
+/** What a connection asks its proxy. */
+export interface ProxiedConnectionOptions {
+	readonly timer: PreciseTimer;
+	readonly identifyClient: ((firstBytes: Buffer) => string | undefined) | undefined;
+	readonly delayMs: (direction: LinkDirection) => number;
+	readonly linkState: (direction: LinkDirection) => LinkState;
+	/** How many of these bytes may still pass. */
+	readonly admitBytes: (direction: LinkDirection, bytes: number) => number;
+	readonly onDidForward: (direction: LinkDirection, bytes: number) => void;
+	readonly onDidSwallow: (bytes: number) => void;
+	readonly onDidClose: () => void;
+}
+
+/** A chunk under way; undefined bytes are the end of the stream. */
+interface QueuedChunk {
+	readonly dueMs: number;
+	readonly bytes: Buffer | undefined;
+}
+
+interface Flow {
+	readonly direction: LinkDirection;
+	readonly source: Socket;
+	readonly destination: Socket;
+	readonly queue: QueuedChunk[];
+	queuedBytes: number;
+	lastDueMs: number;
+	/** Whether a cut swallowed bytes or the end of the stream. */
+	hasHole: boolean;
+}
+
+/** Joins a client's socket and a server's socket. */
+export class ProxiedConnection {
+	/** Name of the process that connected, once its first bytes have told. */
+	client: string | undefined;
+	private readonly _flows: Readonly<Record<LinkDirection, Flow>>;
+	private _isIdentified = false;
+	private _isClosed = false;
+
+	constructor(
+		private readonly _clientSocket: Socket,
+		private readonly _serverSocket: Socket,
+		private readonly _options: ProxiedConnectionOptions,
+	) {
+		this._flows = {
+			toServer: createFlow('toServer', _clientSocket, _serverSocket),
+			toClient: createFlow('toClient', _serverSocket, _clientSocket),
+		};
+		this._watch(this._flows.toServer);
+		this._watch(this._flows.toClient);
+	}
+
+	/** Resets both sides. */
+	break(): void {
+		if (this._isClosed) {
+			return;
+		}
+		this._isClosed = true;
+		this._clientSocket.resetAndDestroy();
+		this._serverSocket.resetAndDestroy();
+		this._options.onDidClose();
+	}
+
+	/** Goes on after a fault: a frozen direction passes what it held, and one with a hole is broken. */
+	faultEnded(direction: LinkDirection): void {
+		const flow = this._flows[direction];
+		if (this._options.linkState(direction) !== 'open') {
+			return;
+		}
+		if (flow.hasHole) {
+			this.break();
+			return;
+		}
+		this._drain(flow);
+	}
+
+	private _watch(flow: Flow): void {
+		flow.source.on('data', (bytes: Buffer) => {
+			this._identify(flow, bytes);
+			this._enqueue(flow, bytes);
+		});
+		flow.source.on('end', () => {
+			this._enqueue(flow, undefined);
+		});
+		// A reset of one side reaches the other only if its direction still passes anything.
+		flow.source.on('error', () => {
+			this._sourceFailed(flow);
+		});
+		flow.source.on('close', () => {
+			this._closeWhenDone();
+		});
+	}
+
+	private _identify(flow: Flow, bytes: Buffer): void {
+		if (flow.direction === 'toServer' && !this._isIdentified) {
+			this._isIdentified = true;
+			this.client = this._options.identifyClient?.(bytes);
+		}
+	}
+
+	private _sourceFailed(flow: Flow): void {
+		if (this._options.linkState(flow.direction) === 'open') {
+			this.break();
+			return;
+		}
+		flow.hasHole = true;
+	}
+
+	private _enqueue(flow: Flow, bytes: Buffer | undefined): void {
+		const nowMs = performance.now();
+		const delayMs = this._options.delayMs(flow.direction);
+		const dueMs = Math.max(flow.lastDueMs, nowMs + delayMs);
+		flow.lastDueMs = dueMs;
+		flow.queue.push({ dueMs, bytes });
+		flow.queuedBytes += bytes?.length ?? 0;
+		if (flow.queuedBytes > maxQueuedBytes) {
+			flow.source.pause();
+		}
+		if (dueMs <= nowMs) {
+			this._drain(flow);
+			return;
+		}
+		this._options.timer.schedule(dueMs, () => {
+			this._drain(flow);
+		});
+	}
+
+	/** Hands on, holds or swallows every chunk that is due, as the direction's state is now. */
+	private _drain(flow: Flow): void {
+		while (!this._isClosed) {
+			const chunk = flow.queue[0];
+			if (chunk === undefined || chunk.dueMs > performance.now()) {
+				return;
+			}
+			const state = this._options.linkState(flow.direction);
+			if (state === 'frozen') {
+				return;
+			}
+			flow.queue.shift();
+			flow.queuedBytes -= chunk.bytes?.length ?? 0;
+			if (flow.source.isPaused() && flow.queuedBytes < maxQueuedBytes) {
+				flow.source.resume();
+			}
+			if (state === 'cut' || flow.hasHole) {
+				flow.hasHole = true;
+				this._options.onDidSwallow(chunk.bytes?.length ?? 0);
+				continue;
+			}
+			this._forward(flow, chunk.bytes);
+		}
+	}
+
+	private _forward(flow: Flow, bytes: Buffer | undefined): void {
+		if (bytes === undefined) {
+			flow.destination.end();
+			return;
+		}
+		const admitted = this._options.admitBytes(flow.direction, bytes.length);
+		if (admitted === 0) {
+			return;
+		}
+		flow.destination.write(admitted < bytes.length ? bytes.subarray(0, admitted) : bytes);
+		this._options.onDidForward(flow.direction, admitted);
+	}
+
+	private _closeWhenDone(): void {
+		if (this._clientSocket.destroyed && this._serverSocket.destroyed && !this._isClosed) {
+			this._isClosed = true;
+			this._options.onDidClose();
+		}
+	}
+}
+
+function createFlow(direction: LinkDirection, source: Socket, destination: Socket): Flow {
+	return { direction, source, destination, queue: [], queuedBytes: 0, lastDueMs: 0, hasHole: false };
+}
--- /dev/null
+++ b/src/proof/node/test/localProcess.test.ts
@@ -0,0 +1,112 @@
+import { spawn } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import test, { type ExecutionContext } from 'ava';
+import { waitFor } from '../../../base/common/async.js';
+import { LocalProcess } from '../localProcess.js';
+import { reservePort } from '../portReservation.js';
+
+const waitMs = 10_000;
+
+const readyLine = `process.stderr.write(JSON.stringify({ event: 'process.ready', level: 'info', pid: process.pid }) + '\\n');`;
+
+function writeProgram(t: ExecutionContext, text: string): string {
+	const folder = mkdtempSync(path.join(tmpdir(), 'yuccaarch-process-'));
+	t.teardown(() => {
+		rmSync(folder, { recursive: true, force: true });
+	});
+	const file = path.join(folder, 'program.mjs');
+	writeFileSync(file, text);
+	return file;
+}
+
+function isAlive(pid: number): boolean {
+	try {
+		process.kill(pid, 0);
+		return true;
+	} catch {
+		return false;
+	}
+}
+
+test('a child is ready, drains on SIGTERM and ends with its code', async (t) => {
+	const programFile = writeProgram(
+		t,
+		`${readyLine} setInterval(() => {}, 1000); process.on('SIGTERM', () => process.exit(7));`,
+	);
+	const child = LocalProcess.start({ name: 'child', args: [], programFile });
+	t.teardown(() => {
+		child.dispose();
+	});
+	const ready = await child.waitForReady();
+	t.is(ready.pid, child.pid);
+	t.deepEqual(await child.stop(), { code: 7, signal: null });
+	t.false(child.isRunning);
+});
+
+test('a child that ends before it is ready is reported with what it wrote', async (t) => {
+	const programFile = writeProgram(
+		t,
+		`process.stderr.write('The key "slots" is missing.\\n'); process.exit(2);`,
+	);
+	const child = LocalProcess.start({ name: 'child', args: [], programFile });
+	const error = await t.throwsAsync(child.waitForReady());
+	t.regex(error.message, /"code":2.*The key "slots" is missing/s);
+});
+
+test('a paused child says nothing until it is resumed', async (t) => {
+	const programFile = writeProgram(
+		t,
+		`${readyLine} let n = 0; setInterval(() => process.stderr.write(JSON.stringify({ event: 'tick', level: 'info', n: n++ }) + '\\n'), 5);`,
+	);
+	const child = LocalProcess.start({ name: 'child', args: [], programFile });
+	t.teardown(() => {
+		child.dispose();
+	});
+	await child.waitForEvent('tick', waitMs);
+	child.pause();
+	await t.throwsAsync(child.waitForEvent('tick', 300, (line) => Number(line.n) > 1000));
+	const countWhenPaused = child.events.length;
+	await t.throwsAsync(child.waitForEvent('tick', 300, (line) => Number(line.n) > 1000));
+	t.is(child.events.length, countWhenPaused);
+	child.resume();
+	await waitFor('the child ticks again', waitMs, () => child.events.length > countWhenPaused);
+	t.deepEqual(await child.kill(), { code: null, signal: 'SIGKILL' });
+});
+
+test('a child dies with its parent, also when the parent is killed', async (t) => {
+	const harness = new URL('../localProcess.js', import.meta.url).href;
+	const childProgram = writeProgram(t, `${readyLine} setInterval(() => {}, 1000);`);
+	const parentProgram = writeProgram(
+		t,
+		`import { LocalProcess } from ${JSON.stringify(harness)};
+		const child = LocalProcess.start({ name: 'child', args: [], programFile: ${JSON.stringify(childProgram)} });
+		await child.waitForReady();
+		process.stdout.write(String(child.pid) + '\\n');
+		setInterval(() => {}, 1000);`,
+	);
+	const parent = spawn(process.execPath, [parentProgram], { stdio: ['ignore', 'pipe', 'inherit'] });
+	let output = '';
+	parent.stdout.on('data', (bytes: Buffer) => (output += bytes.toString()));
+	await waitFor('the parent names its child', waitMs, () => output.endsWith('\n'));
+	const childPid = Number(output);
+	t.true(isAlive(childPid));
+	parent.kill('SIGKILL');
+	await waitFor('the child is gone', waitMs, () => !isAlive(childPid));
+});
+
+test('reserved ports differ, also when the same numbers are drawn', async (t) => {
+	const first = await reservePort(() => 0.5);
+	let draws = 0;
+	const second = await reservePort(() => (draws++ === 0 ? 0.5 : 0.6));
+	t.not(first.port, second.port);
+	t.is(draws, 2);
+	first.dispose();
+	second.dispose();
+	await waitFor('the first port can be reserved again', waitMs, async () => {
+		const again = await reservePort(() => 0.5).catch(() => undefined);
+		again?.dispose();
+		return again?.port === first.port;
+	});
+});
