Store a log of one keeper in checksummed, synced segments

Cause: the keeper needs a durable log before the group's agreement is built.

Records carry a checksum and the index that was synced before them, so that a torn tail (never synced) can be told from damage (synced).

--- /dev/null
+++ b/src/platform/storage/node/segmentedLog.ts
@@ -0,0 +1,261 @@
+/** An append-only log in segment files. One caller at a time: each operation is awaited before the next. */
+
+import { mkdir, open, unlink, type FileHandle } from 'node:fs/promises';
+import path from 'node:path';
+import { damagedFile } from '../common/storageError.js';
+import { syncFileData, syncFolder, toStorageError, writeFully, type SyncFile } from './diskAccess.js';
+import {
+	encodedBytesOf,
+	encodeRecords,
+	encodeSegmentHeader,
+	segmentHeaderBytes,
+	type LogRecord,
+} from './recordCodec.js';
+import {
+	cutFile,
+	listSegments,
+	readFullSegment,
+	readLastSegment,
+	segmentName,
+	type ScannedSegment,
+	type Segment,
+} from './segmentFiles.js';
+import { SyncMark } from './syncMark.js';
+
+/** Options of a log. */
+export interface SegmentedLogOptions {
+	/** Size at which the next append begins a new segment. */
+	readonly segmentBytes: number;
+	/** Index of the first record of an empty log; the records before it are kept elsewhere. */
+	readonly startIndex?: number | undefined;
+	readonly syncFile?: SyncFile | undefined;
+	/** Called between the write of records and their sync. */
+	readonly onWillSync?: (() => void) | undefined;
+}
+
+/** A log as it was found on the disk. */
+export interface OpenedLog {
+	readonly log: SegmentedLog;
+	readonly records: readonly LogRecord[];
+	/** Bytes of a torn write that were cut off. */
+	readonly cutBytes: number;
+}
+
+/** Default size of a segment. */
+export const defaultSegmentBytes = 16 * 1024 * 1024;
+
+/** A log whose appends are on the disk when they return. */
+export class SegmentedLog {
+	private readonly _segments: Segment[] = [];
+	private readonly _syncFile: SyncFile;
+	private _handle: FileHandle | undefined;
+	private _failure: Error | undefined;
+	private _nextIndex = 1;
+
+	private constructor(
+		private readonly _folder: string,
+		private readonly _mark: SyncMark,
+		private readonly _options: SegmentedLogOptions,
+	) {
+		this._syncFile = _options.syncFile ?? syncFileData;
+		this._nextIndex = _options.startIndex ?? 1;
+	}
+
+	/**
+	 * Opens a folder's log and cuts off a torn write at its end.
+	 *
+	 * @throws StorageError `damaged` when a record that was synced is unreadable; it names file and offset
+	 * @example
+	 * const { log, records } = await SegmentedLog.open('/data/log', { segmentBytes: defaultSegmentBytes });
+	 * await log.append([{ index: records.length + 1, payload }]);
+	 */
+	static async open(folder: string, options: SegmentedLogOptions): Promise<OpenedLog> {
+		try {
+			await mkdir(folder, { recursive: true });
+			await syncFolder(path.dirname(folder));
+			const mark = await SyncMark.open(path.join(folder, 'synced'));
+			const log = new SegmentedLog(folder, mark, options);
+			const scanned = await log._readSegments();
+			const records = scanned.flatMap((each) => each.records);
+			return { log, records, cutBytes: scanned.at(-1)?.cutBytes ?? 0 };
+		} catch (error) {
+			throw toStorageError(error, folder);
+		}
+	}
+
+	/** Index of the first record, or of the next one when the log is empty. */
+	get firstIndex(): number {
+		return this._segments[0]?.firstIndex ?? this._nextIndex;
+	}
+
+	/** Index that the next record must have. */
+	get nextIndex(): number {
+		return this._nextIndex;
+	}
+
+	/**
+	 * Appends records with one write and one sync.
+	 *
+	 * @throws StorageError `failed`; the log refuses everything afterwards, because what a failed sync left behind
+	 *   is unknown
+	 */
+	append(records: readonly LogRecord[]): Promise<void> {
+		return this._guard(async () => {
+			const [first] = records;
+			if (first === undefined) {
+				return;
+			}
+			if (first.index !== this._nextIndex) {
+				throw new RangeError(`Record ${first.index} can't follow record ${this._nextIndex - 1}.`);
+			}
+			const segment = await this._segmentForAppend();
+			const bytes = encodeRecords(records, this._nextIndex - 1);
+			await writeFully(this._requireHandle(), bytes, segment.sizeBytes);
+			this._options.onWillSync?.();
+			await this._syncFile(this._requireHandle());
+			this._noteAppended(segment, records);
+			this._mark.raise(this._nextIndex - 1);
+		});
+	}
+
+	/** Removes the records behind an index. */
+	truncateAfter(lastIndex: number): Promise<void> {
+		return this._guard(async () => {
+			if (lastIndex >= this._nextIndex - 1) {
+				return;
+			}
+			await this._mark.set(Math.min(this._mark.index, lastIndex));
+			while ((this._segments.at(-1)?.firstIndex ?? 0) > lastIndex) {
+				await this._removeSegment(this._segments.length - 1);
+			}
+			const segment = this._segments.at(-1);
+			if (segment !== undefined) {
+				const keptRecords = lastIndex - segment.firstIndex + 1;
+				segment.sizeBytes = segment.recordEndsBytes[keptRecords - 1] ?? segmentHeaderBytes;
+				segment.recordEndsBytes.length = keptRecords;
+				await cutFile(segment.file, segment.sizeBytes);
+			}
+			this._nextIndex = lastIndex + 1;
+		});
+	}
+
+	/** Removes whole segments that hold no record from an index on. */
+	dropBefore(index: number): Promise<void> {
+		return this._guard(async () => {
+			while ((this._segments[1]?.firstIndex ?? Infinity) <= index) {
+				await this._removeSegment(0);
+			}
+		});
+	}
+
+	/** Removes every record; the next one has the given index. */
+	restartAt(nextIndex: number): Promise<void> {
+		return this._guard(async () => {
+			// An empty log still shows where it ended, so that a loss of what holds the records before is noticed.
+			await this._mark.set(nextIndex - 1);
+			while (this._segments.length > 0) {
+				await this._removeSegment(this._segments.length - 1);
+			}
+			this._nextIndex = nextIndex;
+		});
+	}
+
+	/** Closes the files. */
+	async close(): Promise<void> {
+		await this._mark.close();
+		await this._handle?.close();
+		this._handle = undefined;
+	}
+
+	private async _guard(operation: () => Promise<void>): Promise<void> {
+		if (this._failure !== undefined) {
+			throw this._failure;
+		}
+		try {
+			await operation();
+		} catch (error) {
+			this._failure = toStorageError(error, this._segments.at(-1)?.file ?? this._folder);
+			throw this._failure;
+		}
+	}
+
+	private async _readSegments(): Promise<ScannedSegment[]> {
+		const firstIndexes = await listSegments(this._folder);
+		const scanned: ScannedSegment[] = [];
+		for (const [position, firstIndex] of firstIndexes.entries()) {
+			const nextFirstIndex = firstIndexes[position + 1];
+			const segment =
+				nextFirstIndex === undefined
+					? await readLastSegment(this._folder, firstIndex, this._mark.index)
+					: await readFullSegment(this._folder, firstIndex, nextFirstIndex);
+			if (segment !== undefined) {
+				scanned.push(segment);
+				this._segments.push(segment.segment);
+			}
+		}
+		const last = this._segments.at(-1);
+		if (last !== undefined) {
+			this._nextIndex = last.firstIndex + last.recordEndsBytes.length;
+			this._handle = await open(last.file, 'r+');
+		}
+		this._requireMarkedRecords();
+		return scanned;
+	}
+
+	private _requireMarkedRecords(): void {
+		const lastIndex = Math.max(this._nextIndex, this._options.startIndex ?? 1) - 1;
+		if (lastIndex < this._mark.index) {
+			throw damagedFile(
+				path.join(this._folder, segmentName(lastIndex + 1)),
+				0,
+				`Records ${lastIndex + 1} to ${this._mark.index} were synced and are gone.`,
+			);
+		}
+	}
+
+	private async _segmentForAppend(): Promise<Segment> {
+		const last = this._segments.at(-1);
+		if (last !== undefined && last.sizeBytes < this._options.segmentBytes) {
+			this._handle ??= await open(last.file, 'r+');
+			return last;
+		}
+		const firstIndex = this._nextIndex;
+		const file = path.join(this._folder, segmentName(firstIndex));
+		await this._handle?.close();
+		this._handle = await open(file, 'w+');
+		await writeFully(this._handle, encodeSegmentHeader(firstIndex), 0);
+		await this._syncFile(this._handle);
+		await syncFolder(this._folder);
+		const segment: Segment = { file, firstIndex, sizeBytes: segmentHeaderBytes, recordEndsBytes: [] };
+		this._segments.push(segment);
+		return segment;
+	}
+
+	private _noteAppended(segment: Segment, records: readonly LogRecord[]): void {
+		for (const record of records) {
+			segment.sizeBytes += encodedBytesOf(record);
+			segment.recordEndsBytes.push(segment.sizeBytes);
+		}
+		this._nextIndex += records.length;
+	}
+
+	private async _removeSegment(position: number): Promise<void> {
+		const [removed] = this._segments.splice(position, 1);
+		if (removed === undefined) {
+			return;
+		}
+		if (position === this._segments.length) {
+			await this._handle?.close();
+			this._handle = undefined;
+		}
+		await unlink(removed.file);
+		await syncFolder(this._folder);
+	}
+
+	private _requireHandle(): FileHandle {
+		if (this._handle === undefined) {
+			throw new Error('The log has no open segment.');
+		}
+		return this._handle;
+	}
+}
