--- /dev/null
+++ b/src/burn/common/burnPage.ts
@@ -0,0 +1,140 @@
+/** The burn report as one self-contained HTML page. */
+
+import { html, raw } from 'hono/html';
+import type { BurnReport, ObjectiveBurn, RouteBurn, UnseenSpan, WindowBurn } from './burnReport.js';
+import { formatRate, formatShare, formatTime, promisedJobs } from './burnText.js';
+import { outcomeClasses, type OutcomeClass } from './outcomeCounts.js';
+
+const outcomeColours: Readonly<Record<OutcomeClass, string>> = {
+	onTime: '#2f855a',
+	late: '#d69e2e',
+	ranAndFailed: '#c53030',
+	mayHaveRun: '#822727',
+	refused: '#4a5568',
+	cancelled: '#a0aec0',
+};
+
+const outcomeNames: Readonly<Record<OutcomeClass, string>> = {
+	onTime: 'on time',
+	late: 'late',
+	ranAndFailed: 'ran and failed',
+	mayHaveRun: 'may have run',
+	refused: 'refused, not run',
+	cancelled: 'cancelled by the reader',
+};
+
+const styles = `
+	body { font: 15px/1.5 system-ui, sans-serif; margin: 2rem auto; max-width: 62rem; padding: 0 1rem; color: #1a202c; }
+	h1 { font-size: 1.5rem; } h2 { font-size: 1.15rem; margin: 2rem 0 .25rem; }
+	table { border-collapse: collapse; width: 100%; margin-top: .5rem; }
+	th, td { text-align: right; padding: .3rem .6rem; border-bottom: 1px solid #e2e8f0; }
+	th:first-child, td:first-child { text-align: left; }
+	.bar { display: flex; height: .9rem; min-width: 12rem; background: #edf2f7; border-radius: 3px; overflow: hidden; }
+	.budget { display: inline-block; width: 12rem; vertical-align: middle; }
+	.alarm { padding: .4rem .7rem; border-left: 4px solid; margin: .4rem 0; }
+	.page { border-color: #c53030; background: #fff5f5; } .ticket { border-color: #d69e2e; background: #fffff0; }
+	.key span { display: inline-block; margin-right: 1rem; } .key i { display: inline-block; width: .8rem; height: .8rem; margin-right: .3rem; }
+	.unseen { color: #744210; } .hot { color: #c53030; font-weight: 600; }
+`;
+
+type Markup = ReturnType<typeof html>;
+
+/**
+ * Renders the report as a page that needs nothing else.
+ *
+ * @example
+ * writeFileSync('burn.html', String(await renderBurnPage(report)));
+ */
+export function renderBurnPage(report: BurnReport): Markup {
+	return html`<!doctype html>
+		<html lang="en">
+			<head>
+				<meta charset="utf-8" />
+				<title>Service-level burn</title>
+				<style>
+					${raw(styles)}
+				</style>
+			</head>
+			<body>
+				<h1>Service-level burn</h1>
+				<p>${formatTime(report.atMs)} UTC, counted by ${report.entries.join(', ') || 'no entry'}.</p>
+				${renderCoverage(report)}
+				<p class="key">${outcomeClasses.map(renderKey)}</p>
+				${report.routes.length === 0 ? html`<p>No job has ended on any route yet.</p>` : report.routes.map(renderRoute)}
+			</body>
+		</html>`;
+}
+
+function renderKey(outcome: OutcomeClass): Markup {
+	return html`<span><i style="background:${outcomeColours[outcome]}"></i>${outcomeNames[outcome]}</span>`;
+}
+
+function renderCoverage(report: BurnReport): Markup {
+	const silent = report.silentEntries.map(
+		(entry) => html`<li>${entry} could not be read; none of its jobs are in this report.</li>`,
+	);
+	return html`<ul class="unseen">
+		${silent}${report.unseenSpans.map(renderUnseen)}
+	</ul>`;
+}
+
+function renderUnseen(span: UnseenSpan): Markup {
+	return html`<li>
+		${span.processId} has not seen ${formatTime(span.fromMs)} to ${formatTime(span.untilMs)} UTC.
+	</li>`;
+}
+
+function renderRoute(route: RouteBurn): Markup {
+	const { objectives } = route;
+	return html`<h2>${route.route}</h2>
+		<p>
+			Promised: ${formatShare(objectives.answeredWithinShare)} within ${objectives.answeredWithinMs} ms,
+			${formatShare(objectives.answeredWholeShare)} whole.<br />
+			Budget left on time: ${renderBudget(route.budgetLeft.onTime)} whole:
+			${renderBudget(route.budgetLeft.whole)}
+		</p>
+		${route.alarms.map((alarm) => html`<p class="alarm ${alarm.kind}"><b>${alarm.kind}</b> ${alarm.message}</p>`)}
+		<table>
+			<tr>
+				<th>window</th>
+				<th>seen</th>
+				<th>jobs</th>
+				<th>how they ended</th>
+				<th>burn on time</th>
+				<th>burn whole</th>
+			</tr>
+			${route.windows.map(renderWindow)}
+		</table>`;
+}
+
+function renderBudget(left: number | undefined): Markup {
+	const widthPercent = Math.max(0, Math.min(1, left ?? 0)) * 100;
+	return html`<span class="bar budget"><span style="width:${widthPercent}%;background:#3182ce"></span></span>
+		${formatShare(left)}`;
+}
+
+function renderWindow(window: WindowBurn): Markup {
+	const total = promisedJobs(window.counts) + window.counts.cancelled;
+	const segments = outcomeClasses
+		.filter((outcome) => window.counts[outcome] > 0)
+		.map((outcome) => {
+			const widthPercent = (window.counts[outcome] / total) * 100;
+			const title = `${outcomeNames[outcome]}: ${window.counts[outcome]}`;
+			return html`<span
+				title="${title}"
+				style="width:${widthPercent}%;background:${outcomeColours[outcome]}"
+			></span>`;
+		});
+	return html`<tr>
+		<td>${window.window}</td>
+		<td>${formatShare(window.seenShare)}</td>
+		<td>${promisedJobs(window.counts)}</td>
+		<td><span class="bar">${segments}</span></td>
+		${window.objectives.map(renderRate)}
+	</tr>`;
+}
+
+function renderRate(burn: ObjectiveBurn): Markup {
+	const isHot = (burn.burnRate ?? 0) >= 1;
+	return html`<td class="${isHot ? 'hot' : ''}">${formatRate(burn.burnRate)}</td>`;
+}
--- /dev/null
+++ b/src/burn/common/burnText.ts
@@ -0,0 +1,98 @@
+/** The burn report as a table for a terminal. */
+
+import type { BurnReport, ObjectiveBurn, RouteBurn, WindowBurn } from './burnReport.js';
+import type { OutcomeCounts } from './outcomeCounts.js';
+
+const columns = [
+	'window',
+	'seen',
+	'jobs',
+	'on time',
+	'late',
+	'failed',
+	'unknown',
+	'refused',
+	'burn: on time',
+	'whole',
+];
+
+/**
+ * Renders the report as text.
+ *
+ * @example
+ * process.stdout.write(renderBurnText(report));
+ */
+export function renderBurnText(report: BurnReport): string {
+	const parts = report.routes.map(renderRoute);
+	const body = parts.length === 0 ? 'No job has ended on any route yet.\n' : parts.join('\n');
+	return `${body}\n${renderCoverage(report)}`;
+}
+
+/** Formats a share as a percentage. */
+export function formatShare(share: number | undefined): string {
+	return share === undefined ? '-' : `${(share * 100).toFixed(2)}%`;
+}
+
+/** Formats a burn rate. */
+export function formatRate(rate: number | undefined): string {
+	if (rate === undefined) {
+		return '-';
+	}
+	return Number.isFinite(rate) ? `${rate.toFixed(2)}x` : 'no budget';
+}
+
+/** Jobs that were promised an answer. */
+export function promisedJobs(counts: OutcomeCounts): number {
+	return counts.onTime + counts.late + counts.ranAndFailed + counts.mayHaveRun + counts.refused;
+}
+
+function renderRoute(route: RouteBurn): string {
+	const { objectives, budgetLeft } = route;
+	const head =
+		`Route ${route.route}: ${formatShare(objectives.answeredWithinShare)} within ${objectives.answeredWithinMs} ms, ` +
+		`${formatShare(objectives.answeredWholeShare)} whole.\n` +
+		`Budget left over 3d: on time ${formatShare(budgetLeft.onTime)}, whole ${formatShare(budgetLeft.whole)}.`;
+	const alarms = route.alarms.map((alarm) => `${alarm.kind.toUpperCase()}: ${alarm.message}`);
+	return [head, ...alarms, renderTable(route.windows), ''].join('\n');
+}
+
+function renderTable(windows: readonly WindowBurn[]): string {
+	const rows = [columns, ...windows.map(toRow)];
+	const widths = columns.map((_, column) => Math.max(...rows.map((row) => row[column]?.length ?? 0)));
+	return rows
+		.map((row) => `  ${row.map((cell, column) => cell.padStart(widths[column] ?? 0)).join('  ')}`)
+		.join('\n');
+}
+
+function toRow(window: WindowBurn): string[] {
+	const { counts } = window;
+	const rateOf = (kind: ObjectiveBurn['objective']): string =>
+		formatRate(window.objectives.find((burn) => burn.objective === kind)?.burnRate);
+	return [
+		window.window,
+		formatShare(window.seenShare),
+		String(promisedJobs(counts)),
+		String(counts.onTime),
+		String(counts.late),
+		String(counts.ranAndFailed),
+		String(counts.mayHaveRun),
+		String(counts.refused),
+		rateOf('onTime'),
+		rateOf('whole'),
+	];
+}
+
+function renderCoverage(report: BurnReport): string {
+	const silent = report.silentEntries.map(
+		(entry) => `Not counted: ${entry} could not be read, so none of its jobs are in this report.`,
+	);
+	const unseen = report.unseenSpans.map(
+		(span) => `Not seen by ${span.processId}: ${formatTime(span.fromMs)} to ${formatTime(span.untilMs)}.`,
+	);
+	return [`Counted by: ${report.entries.join(', ') || 'nobody'}.`, ...silent, ...unseen, ''].join('\n');
+}
+
+/** Formats a wall-clock time for a person. */
+export function formatTime(atMs: number): string {
+	return new Date(atMs).toISOString().replace('T', ' ').slice(0, 19);
+}
