--- a/src/proof/node/test/localProcess.test.ts
+++ b/src/proof/node/test/localProcess.test.ts
@@ -33,7 +33,7 @@
 test('a child is ready, drains on SIGTERM and ends with its code', async (t) => {
 	const programFile = writeProgram(
 		t,
-		`${readyLine} setInterval(() => {}, 1000); process.on('SIGTERM', () => process.exit(7));`,
+		`setInterval(() => {}, 1000); process.on('SIGTERM', () => process.exit(7)); ${readyLine}`,
 	);
 	const child = LocalProcess.start({ name: 'child', args: [], programFile });
 	t.teardown(() => {
