--- a/src/code/node/commands/checkCommand.ts
+++ b/src/code/node/commands/checkCommand.ts
@@ -41,7 +41,7 @@
 	},
 	run: ({ args }) => {
 		try {
-			const kind = checkFiles(args._, args.kind as FileKind | undefined);
+			const kind = checkFiles(args._, args.kind);
 			const text = args.json
 				? JSON.stringify({ isGood: true, kind, files: args._ })
 				: `${args._.join(', ')}: good (${kind}).`;
--- a/src/code/node/operator/operatorArguments.ts
+++ b/src/code/node/operator/operatorArguments.ts
@@ -102,7 +102,7 @@
 }
 
 function createClient(values: ConnectionValues): OperatorClient {
-	const given = values.operator ?? process.env['YUCCAARCH_OPERATOR'] ?? '';
+	const given = values.operator ?? process.env.YUCCAARCH_OPERATOR ?? '';
 	const addresses = given
 		.split(',')
 		.map((address) => address.trim())
@@ -116,7 +116,7 @@
 			throw argumentError('operator', message);
 		}
 	}
-	const token = values.token ?? process.env['YUCCAARCH_TOKEN'];
+	const token = values.token ?? process.env.YUCCAARCH_TOKEN;
 	if (token === undefined || token === '') {
 		throw argumentError('token', "Give the operatorToken of the keepers' settings.");
 	}
