--- /dev/null
+++ b/src/proof/node/readerClient.ts
@@ -0,0 +1,169 @@
+/** A reader of a local system: submits jobs over HTTP and records what it was told, for the auditor. */
+
+import { Agent, request } from 'undici';
+import { z } from 'zod';
+import { Disposable, toDisposable } from '../../base/common/disposable.js';
+import { describeError } from '../../base/common/errors.js';
+import type { ReaderOutcome, ReaderRecord } from '../common/auditRecords.js';
+
+/** One task of a job; the upstream stand-in echoes it whole. */
+export interface TaskPayload {
+	/** Unlike that of any other task; see `auditRecords`. */
+	readonly token: string;
+	/** Time that the stand-in takes. */
+	readonly runMs: number;
+	/** Whether the stand-in lets the task fail. */
+	readonly fail?: boolean;
+}
+
+/** A job for a reader to submit. */
+export interface ReaderJob {
+	readonly route: string;
+	readonly tasks: readonly TaskPayload[];
+	readonly team?: string;
+	readonly key?: string;
+	readonly deadlineMs?: number;
+	readonly repeatable?: boolean;
+}
+
+/** An entry as a reader sees it. */
+export interface ReaderTarget {
+	readonly name: string;
+	/** Base URL without a slash at the end. */
+	readonly url: string;
+}
+
+/** An attempt and the words that the reader was told. */
+export interface ReaderAnswer extends ReaderRecord {
+	readonly httpStatus: number | undefined;
+	/** Message of a failure or refusal; empty for a complete answer. */
+	readonly message: string;
+	/** When to come again, as a refusal says. */
+	readonly retryAfterMs: number | undefined;
+}
+
+/** Time beyond the deadline after which a reader gives up on an entry that says nothing. */
+const patienceMs = 30_000;
+
+const defaultDeadlineMs = 10_000;
+
+/** Answers of `POST /v1/routes/{route}/jobs`, as docs/INTERFACE.md gives them. */
+const answerSchema = z.discriminatedUnion('status', [
+	z.object({ status: z.literal('complete'), results: z.array(z.unknown()) }),
+	z.object({ status: z.literal('failed'), outcome: z.string(), reason: z.string(), message: z.string() }),
+	z.object({
+		status: z.literal('notRun'),
+		reason: z.string(),
+		message: z.string(),
+		retryAfterMs: z.number().optional(),
+	}),
+]);
+
+const echoSchema = z.object({ echo: z.object({ token: z.string() }) });
+
+interface Told {
+	readonly outcome: ReaderOutcome;
+	readonly httpStatus?: number;
+	readonly message: string;
+	readonly retryAfterMs?: number | undefined;
+}
+
+/**
+ * Submits jobs and keeps a record of each attempt.
+ *
+ * @example
+ * const readers = store.add(new ReaderClient());
+ * const answer = await readers.submit(entry, { route: 'commission-terms', tasks: [{ token: 't1', runMs: 50 }] });
+ */
+export class ReaderClient extends Disposable {
+	private readonly _records: ReaderRecord[] = [];
+	private readonly _http = new Agent({ connections: null, pipelining: 1 });
+
+	constructor() {
+		super();
+		this._register(
+			toDisposable(() => {
+				void this._http.destroy();
+			}),
+		);
+	}
+
+	/** Attempts that have ended, in the order in which they ended. */
+	get records(): readonly ReaderRecord[] {
+		return this._records;
+	}
+
+	/** Submits a job and waits for its answer; never rejects. An aborted signal makes the reader go away. */
+	async submit(target: ReaderTarget, job: ReaderJob, signal?: AbortSignal): Promise<ReaderAnswer> {
+		const sentAtMs = Date.now();
+		const told = await this._ask(target, job, signal);
+		const answer: ReaderAnswer = {
+			entry: target.name,
+			key: job.key,
+			tokens: job.tasks.map(({ token }) => token),
+			sentAtMs,
+			endedAtMs: Date.now(),
+			outcome: told.outcome,
+			httpStatus: told.httpStatus,
+			message: told.message,
+			retryAfterMs: told.retryAfterMs,
+		};
+		this._records.push(answer);
+		return answer;
+	}
+
+	private async _ask(target: ReaderTarget, job: ReaderJob, signal?: AbortSignal): Promise<Told> {
+		const { route, key, ...body } = job;
+		const timeoutMs = (job.deadlineMs ?? defaultDeadlineMs) + patienceMs;
+		try {
+			const response = await request(`${target.url}/v1/routes/${route}/jobs`, {
+				method: 'POST',
+				headers: {
+					'content-type': 'application/json',
+					...(key === undefined ? {} : { 'idempotency-key': key }),
+				},
+				body: JSON.stringify(body),
+				dispatcher: this._http,
+				headersTimeout: timeoutMs,
+				bodyTimeout: timeoutMs,
+				...(signal === undefined ? {} : { signal }),
+			});
+			return readAnswer(response.statusCode, await response.body.text());
+		} catch (error) {
+			const message = describeError(error);
+			if (signal?.aborted === true) {
+				return { outcome: { kind: 'left' }, message };
+			}
+			return { outcome: { kind: 'noAnswer', message }, message };
+		}
+	}
+}
+
+function readAnswer(httpStatus: number, text: string): Told {
+	const parsed = answerSchema.safeParse(parseJson(text));
+	if (!parsed.success) {
+		const isBadRequest = httpStatus >= 400 && httpStatus < 500;
+		return isBadRequest
+			? { outcome: { kind: 'badRequest', httpStatus }, httpStatus, message: text }
+			: { outcome: { kind: 'noAnswer', message: `HTTP ${httpStatus}: ${text}` }, httpStatus, message: text };
+	}
+	const answer = parsed.data;
+	if (answer.status === 'complete') {
+		const echoedTokens = answer.results.map((result) => echoSchema.safeParse(result).data?.echo.token);
+		return { outcome: { kind: 'complete', echoedTokens }, httpStatus, message: '' };
+	}
+	if (answer.status === 'failed') {
+		const reason = `${answer.outcome}/${answer.reason}`;
+		return { outcome: { kind: 'failed', reason }, httpStatus, message: answer.message };
+	}
+	const { reason, message, retryAfterMs } = answer;
+	return { outcome: { kind: 'notRun', reason }, httpStatus, message, retryAfterMs };
+}
+
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text) as unknown;
+	} catch {
+		return undefined;
+	}
+}
