--- a/src/proof/node/localSystem.ts
+++ b/src/proof/node/localSystem.ts
@@ -1,10 +1,11 @@
 /** A whole system of real processes on loopback: keepers, entries, agents and stand-in upstreams. */
 
-import { mkdtempSync, rmSync } from 'node:fs';
+import { existsSync, mkdtempSync, readFileSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { waitFor } from '../../base/common/async.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
+import type { JournalText } from '../common/journalStarts.js';
 import { FaultProxy, type LinkDelays } from './faultProxy.js';
 import { identifyByHello } from './identifyClient.js';
 import {
@@ -15,7 +16,7 @@
 	writeSettings,
 	type LocalDaemon,
 } from './localDaemon.js';
-import { LocalProcessError } from './localProcess.js';
+import { LocalProcess, LocalProcessError, type ExitStatus } from './localProcess.js';
 import { reservePort } from './portReservation.js';
 import { PreciseTimer } from './preciseTimer.js';
 
@@ -62,6 +63,9 @@
 /** Token of the operators in every local system. */
 export const localOperatorToken = 'an-operator-token-for-loopback';
 
+/** Exit code of an operators' command that changed something. */
+const operatorChangedCode = 10;
+
 const readyTimeoutMs = 20_000;
 
 const agentsPerRack = 3;
@@ -86,7 +90,9 @@
  * Owns the processes, proxies, ports and folders of one system. Disposing it kills every process that still runs.
  *
  * @example
- * const system = await LocalSystem.start({ keepers: 1, entries: 2, agents: [{ pool: 'ledger' }] }, declaration);
+ * const system = await LocalSystem.start({ keepers: 1, entries: 2, agents: [{ pool: 'ledger' }] });
+ * await system.apply([exampleFiles.registroRioplatense]);
+ * await system.waitUntilServing();
  * const response = await fetch(`${system.entries[0].url}/v1/routes/terms/jobs`, { method: 'POST', body });
  * await system.drain();
  * await system.close();
@@ -126,9 +132,12 @@
 		return this._agents;
 	}
 
-	/** Paths of the upstreams' journals. */
-	get journalFiles(): readonly string[] {
-		return this._agents.map((agent) => agent.upstream.journalFile);
+	/** What the upstreams have journalled so far. */
+	readJournals(): JournalText[] {
+		return this._agents
+			.map(({ upstream }) => upstream)
+			.filter(({ journalFile }) => existsSync(journalFile))
+			.map(({ name, journalFile }) => ({ upstream: name, text: readFileSync(journalFile, 'utf8') }));
 	}
 
 	/**
@@ -147,6 +156,35 @@
 		return system;
 	}
 
+	/**
+	 * Applies declaration files with the operators' command, and waits until they are in force everywhere.
+	 *
+	 * @returns what the command printed
+	 * @throws LocalProcessError when the command fails
+	 */
+	async apply(files: readonly string[]): Promise<string> {
+		const { exit, output, errorText } = await this.runOperator('apply', [...files, '--wait']);
+		if (exit.code !== operatorChangedCode && exit.code !== 0) {
+			const lines = [...output, errorText].join('\n');
+			throw new LocalProcessError(`"yuccaarch apply" ended with ${JSON.stringify(exit)}.\n${lines}`);
+		}
+		return output.join('\n');
+	}
+
+	/** Runs one of the operators' commands against the keepers and returns how it ended. */
+	async runOperator(
+		command: string,
+		args: readonly string[],
+	): Promise<{ exit: ExitStatus; output: readonly string[]; errorText: string }> {
+		const operators = this._keepers.map((keeper) => keeper.operatorAddress).join(',');
+		const connection = ['--operator', operators, '--token', localOperatorToken];
+		const child = this._register(
+			LocalProcess.start({ name: command, args: [command, ...args, ...connection] }),
+		);
+		const exit = await child.waitForExit();
+		return { exit, output: child.outputLines, errorText: child.errorText };
+	}
+
 	/** Waits until every entry tells the balancer that it is ready. */
 	async waitUntilServing(timeoutMs = readyTimeoutMs): Promise<void> {
 		for (const entry of this._entries) {
--- a/src/standins/common/journal.ts
+++ b/src/standins/common/journal.ts
@@ -4,7 +4,7 @@
 
 /** What happened to a task. */
 export type JournalEventName =
-	'start' | 'end' | 'fail' | 'refuse' | 'stop' | 'abort' | 'throttle' | 'checkpoint';
+	'start' | 'payload' | 'end' | 'fail' | 'refuse' | 'stop' | 'abort' | 'throttle' | 'checkpoint';
 
 /** One line of a journal. */
 export interface JournalEvent extends TaskIdentity {
@@ -14,6 +14,8 @@
 	readonly upstreamId: string;
 	readonly route: string;
 	readonly team: string;
+	/** On `payload`: the token that the reader put into the task, where there is one. */
+	readonly token?: string | undefined;
 	/** Share that a throttled task gets. */
 	readonly share?: number | undefined;
 }
--- a/src/standins/common/upstreamOptions.ts
+++ b/src/standins/common/upstreamOptions.ts
@@ -57,6 +57,8 @@
 /** What a payload may ask of the stand-in; anything else in it is echoed. */
 export const taskRequestSchema = z.looseObject({
 	runMs: z.number().nonnegative().optional(),
+	/** Name of the task among all tasks of a run, written to the journal for an auditor. */
+	token: z.string().max(200).optional(),
 	/** Whether the task fails. */
 	fail: z.boolean().optional(),
 	/** Length of the padding in the result. */
--- a/src/standins/node/standinUpstream.ts
+++ b/src/standins/node/standinUpstream.ts
@@ -12,7 +12,7 @@
 import type { ILogService } from '../../platform/log/common/log.js';
 import { formatAddress, parseAddress } from '../../platform/transport/node/address.js';
 import { taskKey, type TaskIdentity } from '../../protocol/common/jobs.js';
-import type { IJournal, JournalEventName } from '../common/journal.js';
+import type { IJournal, JournalEvent, JournalEventName } from '../common/journal.js';
 import {
 	taskRequestSchema,
 	type StandinResult,
@@ -106,7 +106,11 @@
 		this._record('start', context, identity);
 		const payload = await context.req.json<unknown>();
 		const parsed = taskRequestSchema.safeParse(payload);
-		const task = this._createTask(identity, parsed.success ? parsed.data : {});
+		const taskRequest = parsed.success ? parsed.data : {};
+		if (taskRequest.token !== undefined) {
+			this._record('payload', context, identity, { token: taskRequest.token });
+		}
+		const task = this._createTask(identity, taskRequest);
 		this._tasks.set(key, task);
 		const signal = context.req.raw.signal;
 		signal.addEventListener('abort', () => {
@@ -158,7 +162,7 @@
 		const identity = identityOf(context);
 		const { share } = await context.req.json<{ share: number }>();
 		this._tasks.get(taskKey(identity))?.throttle(share);
-		this._record('throttle', context, identity, share);
+		this._record('throttle', context, identity, { share });
 		return context.json({});
 	}
 
@@ -180,7 +184,12 @@
 			}));
 	}
 
-	private _record(event: JournalEventName, context: Context, identity: TaskIdentity, share?: number): void {
+	private _record(
+		event: JournalEventName,
+		context: Context,
+		identity: TaskIdentity,
+		details: Pick<JournalEvent, 'share' | 'token'> = {},
+	): void {
 		this._journal.record({
 			timeMs: Date.now(),
 			event,
@@ -188,7 +197,7 @@
 			upstreamId: this._options.upstreamId,
 			route: context.req.header('yuccaarch-route') ?? '',
 			team: context.req.header('yuccaarch-team') ?? '',
-			share,
+			...details,
 		});
 		this._log.debug(`task.${event}`, { ...identity });
 	}
