Add the entry: HTTP jobs, placement by a home per pool, claims, relays

Change: a core of tables and systems (admission, routing to the pool's home by rendezvous under the directory's epoch, claims before the first start, search for what an earlier home started by fencing at every worker, fair queue by team, ejection relative to peers, deadlines, cancellation), and a thin shell (hono, peer listener, tick loop). `yuccaarch entry SETTINGS.toml` runs it.

Ruled out: trusting an agent's list of known tasks at a change of home. It leaves out acknowledged tasks, and a start of the earlier home could arrive after it; so the new home fences each shared task below its own epoch's attempts at every worker before it places it. Ruled out: 502, 503 or 504 for a job that may have run, since proxies repeat those by themselves.

Seen red: DELETE through another entry ended at the deadline, because the home forgot the relaying entry with the cancellation and never answered it.

--- a/src/code/node/commands/entryCommand.ts
+++ b/src/code/node/commands/entryCommand.ts
@@ -1,12 +1,40 @@
 /** `yuccaarch entry`: Runs an entry, which takes jobs from readers. */
 
 import { defineCommand } from 'citty';
+import { ControlPlaneClient } from '../../../control/node/controlPlaneClient.js';
+import { entrySettingsSchema, type EntrySettings } from '../../../entry/common/entrySettings.js';
+import { EntryDaemon } from '../../../entry/node/entryDaemon.js';
+import { reportSettingsError, runDaemon } from '../../../platform/daemon/node/daemon.js';
+import { ConsolaLogService } from '../../../platform/log/node/consolaLogService.js';
+import { loadSettings } from '../../../platform/settings/node/loadSettings.js';
 
 /** The command's definition. */
 export const entryCommand = defineCommand({
-	meta: { name: 'entry', description: 'Runs an entry, which takes jobs from readers.' },
-	run: () => {
-		process.stderr.write('The command "entry" is not built yet.\n');
-		process.exitCode = 1;
+	meta: {
+		name: 'entry',
+		description: 'Runs an entry, which takes jobs from readers. Example: yuccaarch entry entry-1.toml',
+	},
+	args: { settings: { type: 'positional', required: true, description: "The entry's settings file." } },
+	run: async ({ args }) => {
+		try {
+			await runEntry(loadSettings(args.settings, entrySettingsSchema));
+		} catch (error) {
+			reportSettingsError(error);
+		}
 	},
 });
+
+async function runEntry(settings: EntrySettings): Promise<void> {
+	const log = new ConsolaLogService({ role: 'entry', instance: settings.processId }, settings.log);
+	await runDaemon({
+		log,
+		drainTimeoutMs: settings.drainTimeoutMs,
+		start: () =>
+			EntryDaemon.start({
+				settings,
+				log,
+				connectControl: ({ identity, secret, limits }) =>
+					new ControlPlaneClient({ keepers: settings.keepers, identity, secret, limits, log }),
+			}),
+	});
+}
--- /dev/null
+++ b/src/entry/common/policies/createPolicy.ts
@@ -0,0 +1,25 @@
+/** Makes a policy by its name in the settings. */
+
+import { match } from 'ts-pattern';
+import type { policyNames } from '../entrySettings.js';
+import { HomePolicy } from './homePolicy.js';
+import type { PlacementPolicy } from './placementPolicy.js';
+import { RandomPolicy } from './randomPolicy.js';
+import { TwoChoicesPolicy } from './twoChoicesPolicy.js';
+
+/** Name of a policy. */
+export type PolicyName = (typeof policyNames)[number];
+
+/**
+ * Makes a policy.
+ *
+ * @example
+ * const core = new EntryCore(options, createPolicy('home'), seed);
+ */
+export function createPolicy(name: PolicyName): PlacementPolicy {
+	return match(name)
+		.with('home', () => new HomePolicy())
+		.with('random', () => new RandomPolicy())
+		.with('twoChoices', 'batchSampling', () => new TwoChoicesPolicy())
+		.exhaustive();
+}
--- /dev/null
+++ b/src/entry/common/policies/randomPolicy.ts
@@ -0,0 +1,21 @@
+/** Baseline: any worker, whatever its load; tasks wait in the agents' queues. */
+
+import type { EntryTables } from '../entryTables.js';
+import type { JobRow } from '../jobRow.js';
+import type { PoolState } from '../poolState.js';
+import type { WorkerRow } from '../workerRow.js';
+import { PlacementPolicy, type IWorkerChooser } from './placementPolicy.js';
+
+/** Places each task at a random worker. */
+export class RandomPolicy extends PlacementPolicy {
+	readonly usesHome = false;
+
+	chooserFor(tables: EntryTables, _pool: PoolState, workers: readonly WorkerRow[]): IWorkerChooser {
+		return {
+			choose: (job: JobRow) => {
+				const fitting = workers.filter((worker) => worker.couldEverFit(job.submission.needs));
+				return fitting.length === 0 ? undefined : tables.random.pick(fitting);
+			},
+		};
+	}
+}
--- /dev/null
+++ b/src/entry/common/policies/twoChoicesPolicy.ts
@@ -0,0 +1,33 @@
+/** Baseline: the less loaded of two random workers, by the load that the agents told last. */
+
+import type { EntryTables } from '../entryTables.js';
+import type { JobRow } from '../jobRow.js';
+import type { PoolState } from '../poolState.js';
+import type { WorkerRow } from '../workerRow.js';
+import { PlacementPolicy, type IWorkerChooser } from './placementPolicy.js';
+
+/** Load of a worker relative to its slots, as told by its last outcome and changed by own starts since. */
+export function cachedLoad(worker: WorkerRow): number {
+	return Math.max(worker.reportedLoad, worker.assigned.size) / Math.max(1, worker.offer?.slots ?? 1);
+}
+
+/** Places each task at the less loaded of two random workers. */
+export class TwoChoicesPolicy extends PlacementPolicy {
+	readonly usesHome = false;
+
+	chooserFor(tables: EntryTables, _pool: PoolState, workers: readonly WorkerRow[]): IWorkerChooser {
+		return {
+			choose: (job: JobRow) => {
+				const fitting = workers.filter((worker) => worker.couldEverFit(job.submission.needs));
+				if (fitting.length === 0) {
+					return undefined;
+				}
+				const first = tables.random.pick(fitting);
+				const second = tables.random.pick(fitting);
+				const chosen = cachedLoad(second) < cachedLoad(first) ? second : first;
+				chosen.reportedLoad += 1;
+				return chosen;
+			},
+		};
+	}
+}
--- /dev/null
+++ b/src/entry/common/poolState.ts
@@ -0,0 +1,103 @@
+/** What this entry keeps for a pool beside the operators' row: its queue, its home and what was learned about it. */
+
+import type { PoolRow } from '../../declarations/common/tables.js';
+import type { JobRow } from './jobRow.js';
+import { TeamQueue } from './teamQueue.js';
+
+/** Where tasks of the pool are placed. */
+export type PoolHome =
+	| { readonly kind: 'self' }
+	| { readonly kind: 'other'; readonly processId: string; readonly incarnation: string }
+	/** No live entry may be the home. */
+	| { readonly kind: 'none' };
+
+/** This entry's time as the home of a pool. */
+export interface Tenure {
+	readonly sinceMs: number;
+	/** Earlier home, by process id, that has yet to say which submissions it goes on with. */
+	earlierHome: string | undefined;
+	/** Whether shared jobs may be searched for and placed. */
+	isSettled: boolean;
+}
+
+/** Weight of the newest run time in the learned mean. */
+const runTimeWeight = 0.05;
+/** Retries that may be saved up. */
+const maxRetryTokens = 100;
+
+/** State of one pool. */
+export class PoolState {
+	row: PoolRow;
+	home: PoolHome = { kind: 'none' };
+	queuedTasks = 0;
+	readonly teams = new Map<string, TeamQueue>();
+	/** Virtual time of the fair queue: rises with the work that was started. */
+	virtualTime = 0;
+	meanRunMs = 0;
+	runSamples = 0;
+	retryTokens = 10;
+	/** Highest epoch of ours that an agent refused as too old. */
+	refusedEpoch = -1;
+	/** Present while this entry is the home. */
+	tenure: Tenure | undefined;
+	/** Submissions that an earlier home goes on with, by its process id. */
+	readonly ownedElsewhere = new Map<string, string>();
+
+	constructor(
+		readonly name: string,
+		readonly firstSeenMs: number,
+	) {
+		this.row = emptyRow(name);
+	}
+
+	/** Puts a job's queued tasks in line. */
+	enqueue(job: JobRow, weight: number): void {
+		const { team } = job.submission;
+		let queue = this.teams.get(team);
+		if (queue === undefined) {
+			queue = new TeamQueue(team);
+			this.teams.set(team, queue);
+		}
+		queue.weight = weight;
+		queue.push(job, this.virtualTime);
+		this.queuedTasks += job.queuedCount;
+	}
+
+	/** Puts one task of a job that was in line back in line. */
+	requeue(job: JobRow): void {
+		this.queuedTasks += 1;
+		this.teams.get(job.submission.team)?.push(job, this.virtualTime);
+	}
+
+	/** Learns from a measured run time. */
+	noteRunTime(runMs: number): void {
+		this.runSamples += 1;
+		const weight = Math.max(runTimeWeight, 1 / this.runSamples);
+		this.meanRunMs += weight * (runMs - this.meanRunMs);
+	}
+
+	/** Earns a share of a retry with each start. */
+	earnRetry(): void {
+		this.retryTokens = Math.min(maxRetryTokens, this.retryTokens + this.row.retryBudgetShare);
+	}
+
+	/** Takes a retry from the budget; false when it is used up. */
+	spendRetry(): boolean {
+		if (this.retryTokens < 1) {
+			return false;
+		}
+		this.retryTokens -= 1;
+		return true;
+	}
+}
+
+/** A pool that jobs refer to but that the tables don't hold yet. */
+export function emptyRow(name: string): PoolRow {
+	return {
+		name,
+		maxQueuedTasks: 0,
+		retryBudgetShare: 0,
+		maxEjectedShare: 0,
+		spareStartsPerWorker: 0,
+	};
+}
--- /dev/null
+++ b/src/entry/common/systems/deadlineSystem.ts
@@ -0,0 +1,67 @@
+/** Answers jobs whose deadline has passed, and refuses those that no worker can hold. */
+
+import type { EntryTables } from '../entryTables.js';
+import { finishJob, stopJob } from '../jobLife.js';
+import type { PendingRefusal } from '../jobRow.js';
+import type { PoolState } from '../poolState.js';
+import type { EntryOutputs } from '../tickTypes.js';
+import { deadlineVerdict } from '../verdict.js';
+
+/** Time by which a relayed job's home may answer after the deadline; its clock started a transfer later. */
+const relayGraceMs = 100;
+/** Time in which workers may still announce themselves before a job is refused for want of one. */
+const announceWaitMs = 3000;
+
+/** Answers every job whose deadline has passed. */
+export function answerLateJobs(tables: EntryTables, outputs: EntryOutputs): void {
+	const { deadlines, nowMs } = tables;
+	for (let job = deadlines.takeDue(nowMs); job !== undefined; job = deadlines.takeDue(nowMs)) {
+		if (job.phase === 'answered') {
+			continue;
+		}
+		const graceEndMs = job.deadlineMs + relayGraceMs;
+		if (job.phase === 'relayed' && nowMs < graceEndMs) {
+			deadlines.add(job, graceEndMs);
+			continue;
+		}
+		finishJob(tables, outputs, job, deadlineVerdict(job));
+	}
+}
+
+/** Refuses jobs that no worker of their pool could ever hold, once workers have had time to announce themselves. */
+export function refuseHopelessJobs(tables: EntryTables): void {
+	for (const pool of tables.pools.values()) {
+		if (pool.queuedTasks > 0 && tables.nowMs - pool.firstSeenMs >= announceWaitMs) {
+			refuseHopelessJobsOf(tables, pool);
+		}
+	}
+}
+
+function refuseHopelessJobsOf(tables: EntryTables, pool: PoolState): void {
+	const workers = tables.workersOf(pool.name);
+	const present = workers.filter((worker) => worker.sessionId !== undefined);
+	for (const job of tables.jobs.values()) {
+		const hasWaited = tables.nowMs - job.phaseSinceMs >= announceWaitMs || present.length > 0;
+		if (job.pool !== pool.name || job.phase !== 'placing' || job.queuedCount === 0 || !hasWaited) {
+			continue;
+		}
+		if (present.some((worker) => worker.couldEverFit(job.submission.needs))) {
+			continue;
+		}
+		stopJob(tables, job, hopeless(pool, present.length));
+	}
+}
+
+function hopeless(pool: PoolState, workerCount: number): PendingRefusal {
+	if (workerCount === 0) {
+		return {
+			reason: 'noWorkers',
+			message: `No worker of the pool "${pool.name}" is connected.`,
+			retryAfterMs: announceWaitMs,
+		};
+	}
+	return {
+		reason: 'neverFits',
+		message: `None of the ${workerCount} workers of the pool "${pool.name}" is large enough for the tasks' needs.`,
+	};
+}
--- /dev/null
+++ b/src/entry/common/systems/outcomeSystem.ts
@@ -0,0 +1,190 @@
+/** Takes account of how tasks ended: results, learned run times, slots, and tasks that may be placed again. */
+
+import { match } from 'ts-pattern';
+import type {
+	NotStartedReason,
+	TaskEnd,
+	TaskOutcome,
+	TaskOutcomesMessage,
+} from '../../../protocol/common/agentMessages.js';
+import { taskKey } from '../../../protocol/common/jobs.js';
+import type { EntryTables } from '../entryTables.js';
+import { endTask } from '../jobLife.js';
+import type { JobRow } from '../jobRow.js';
+import type { EntryOutputs } from '../tickTypes.js';
+import type { AssignedTask, WorkerRow } from '../workerRow.js';
+import { noteRun } from './ejectionSystem.js';
+import { clearSearch } from './searchSystem.js';
+
+/** Pause after a worker's queue was full. */
+const fullQueuePauseMs = 20;
+/** Pause after a worker could not start a task for a cause that does not pass at once. */
+const refusedPauseMs = 250;
+/** Outcomes that are acknowledged together at the latest, and time that the oldest may wait. */
+const maxUnacknowledged = 64;
+const maxAcknowledgeWaitMs = 10_000;
+
+/** Takes outcomes from an agent. Outcomes of tasks that this entry doesn't wait for are ignored. */
+export function applyOutcomes(
+	tables: EntryTables,
+	sessionId: number,
+	message: TaskOutcomesMessage,
+	outputs: EntryOutputs,
+): void {
+	const peer = tables.sessions.get(sessionId);
+	const worker = peer === undefined ? undefined : tables.workers.get(peer.processId);
+	if (worker === undefined || worker.incarnation !== peer?.incarnation) {
+		return;
+	}
+	tables.stats.outcomeFrames += 1;
+	worker.reportedLoad = message.openTasks ?? worker.assigned.size;
+	for (const outcome of message.outcomes) {
+		applyOutcome(tables, worker, outcome, outputs);
+	}
+	if (worker.unacknowledged.length >= maxUnacknowledged) {
+		acknowledge(tables, worker);
+	}
+}
+
+/** Acknowledges outcomes that have waited long enough for company. */
+export function acknowledgeOldOutcomes(tables: EntryTables): void {
+	for (const worker of tables.workers.values()) {
+		const waitedMs = tables.nowMs - worker.unacknowledgedSinceMs;
+		if (worker.unacknowledged.length > 0 && waitedMs >= maxAcknowledgeWaitMs) {
+			acknowledge(tables, worker);
+		}
+	}
+}
+
+function acknowledge(tables: EntryTables, worker: WorkerRow): void {
+	if (worker.sessionId === undefined) {
+		return;
+	}
+	tables.outbox.to(worker.sessionId).acknowledgements.push(...worker.unacknowledged);
+	worker.unacknowledged = [];
+}
+
+function applyOutcome(
+	tables: EntryTables,
+	worker: WorkerRow,
+	{ submissionId, taskIndex, end }: TaskOutcome,
+	outputs: EntryOutputs,
+): void {
+	const key = taskKey({ submissionId, taskIndex });
+	const task = worker.release(key);
+	if (task === undefined) {
+		applySearched(tables, worker, key, end);
+		return;
+	}
+	tables.stats.outcomesReceived += 1;
+	tables.addRunning(task.job.submission.team, -1);
+	if (end.state !== 'notStarted') {
+		noteUnacknowledged(tables, worker, task);
+	}
+	noteRun(tables, worker, task, end, outputs);
+	if (task.job.phase === 'answered') {
+		return;
+	}
+	applyEnd(tables, worker, task, end);
+}
+
+/** Takes the answer to a search. */
+function applySearched(tables: EntryTables, worker: WorkerRow, key: string, end: TaskEnd): void {
+	const task = worker.searched.get(key);
+	if (task === undefined || !worker.searched.delete(key) || task.job.phase === 'answered') {
+		return;
+	}
+	if (end.state === 'notStarted') {
+		clearSearch(tables, task.job, task.taskIndex);
+		return;
+	}
+	if (task.job.states[task.taskIndex] === 'searched') {
+		applyEnd(tables, worker, task, end);
+	}
+}
+
+function noteUnacknowledged(tables: EntryTables, worker: WorkerRow, task: AssignedTask): void {
+	if (worker.unacknowledged.length === 0) {
+		worker.unacknowledgedSinceMs = tables.nowMs;
+	}
+	worker.unacknowledged.push({ submissionId: task.submissionId, taskIndex: task.taskIndex });
+}
+
+function applyEnd(tables: EntryTables, worker: WorkerRow, task: AssignedTask, end: TaskEnd): void {
+	const { job, taskIndex } = task;
+	match(end)
+		.with({ state: 'done' }, ({ resultJson, runMs }) => {
+			job.resultsJson[taskIndex] = resultJson;
+			tables.poolOf(job.pool).noteRunTime(runMs);
+			endTask(tables, job, taskIndex, 'done');
+		})
+		.with({ state: 'failed' }, { state: 'stopped' }, ({ state, message }) => {
+			job.firstFailure ??= `Task ${taskIndex} ${state === 'failed' ? 'failed' : 'was stopped'}: ${message}`;
+			endTask(tables, job, taskIndex, state);
+		})
+		.with({ state: 'unknown' }, () => {
+			endTask(tables, job, taskIndex, 'unknown');
+		})
+		.with({ state: 'notStarted' }, ({ reason }) => {
+			takeBack(tables, worker, task, reason);
+		})
+		.exhaustive();
+}
+
+/** Places a task, which surely has not started, once more, unless its job has stopped or the budget is used up. */
+function takeBack(
+	tables: EntryTables,
+	worker: WorkerRow,
+	task: AssignedTask,
+	reason: NotStartedReason,
+): void {
+	const { job, taskIndex } = task;
+	tables.stats.countWasted('refusals', 1);
+	noteRefusal(tables, worker, task, reason);
+	const pool = tables.poolOf(job.pool);
+	const isLast = reason === 'cancelled' || reason === 'startTimePassed' || job.stop !== undefined;
+	if (!isLast && (reason === 'olderEpoch' || pool.spendRetry())) {
+		tables.stats.retries += 1;
+		job.returnToQueue(taskIndex);
+		pool.requeue(job);
+		tables.changedJobs.add(job);
+		return;
+	}
+	stopUnlessStopped(job, reason);
+	endTask(tables, job, taskIndex, 'neverStarted');
+}
+
+function noteRefusal(
+	tables: EntryTables,
+	worker: WorkerRow,
+	task: AssignedTask,
+	reason: NotStartedReason,
+): void {
+	match(reason)
+		.with('leaving', 'noUpstream', 'otherPool', () => {
+			worker.isLeaving = true;
+		})
+		.with('queueFull', 'doesNotFit', () => {
+			worker.pausedUntilMs = tables.nowMs + fullQueuePauseMs;
+		})
+		.with('olderEpoch', () => {
+			const pool = tables.poolOf(task.job.pool);
+			pool.refusedEpoch = Math.max(pool.refusedEpoch, task.epoch);
+		})
+		.with('upstreamRefused', 'staleTables', 'identitiesFull', () => {
+			worker.pausedUntilMs = tables.nowMs + refusedPauseMs;
+		})
+		.with('cancelled', 'startTimePassed', 'fenced', 'connectionLost', () => undefined)
+		.exhaustive();
+}
+
+function stopUnlessStopped(job: JobRow, reason: NotStartedReason): void {
+	job.stop ??=
+		reason === 'startTimePassed'
+			? { reason: 'deadlinePassed', message: 'The deadline passed before the job could start.' }
+			: {
+					reason: 'workersRefused',
+					message: `The workers refused the job (${reason}), and the pool's retry budget is used up.`,
+					retryAfterMs: 1000,
+				};
+}
--- /dev/null
+++ b/src/entry/common/systems/placementSystem.ts
@@ -0,0 +1,120 @@
+/** Sends queued tasks to workers: teams in the order of their fair shares, each team's jobs in order of arrival. */
+
+import { taskKey } from '../../../protocol/common/jobs.js';
+import type { EntryTables } from '../entryTables.js';
+import type { JobRow } from '../jobRow.js';
+import type { IWorkerChooser, PlacementPolicy } from '../policies/placementPolicy.js';
+import type { PoolState } from '../poolState.js';
+import type { TeamQueue } from '../teamQueue.js';
+import type { WorkerRow } from '../workerRow.js';
+import { teamShare } from './quotaSystem.js';
+import { attemptOf } from './searchSystem.js';
+
+/** Places what can be placed in every pool. */
+export function placeTasks(tables: EntryTables, policy: PlacementPolicy): void {
+	for (const pool of tables.pools.values()) {
+		if (pool.queuedTasks > 0 && !isSuperseded(tables, pool)) {
+			placeInPool(tables, pool, policy);
+		}
+	}
+}
+
+/** Agents refuse this epoch's starts: nothing can be placed until the keepers' newer directory has arrived. */
+function isSuperseded(tables: EntryTables, pool: PoolState): boolean {
+	return pool.refusedEpoch >= tables.epoch;
+}
+
+function placeInPool(tables: EntryTables, pool: PoolState, policy: PlacementPolicy): void {
+	const workers: WorkerRow[] = [];
+	for (const worker of tables.workers.values()) {
+		if (worker.pool === pool.name && worker.canStart(tables.nowMs)) {
+			workers.push(worker);
+		}
+	}
+	sendProbes(tables, pool, workers);
+	const healthy = workers.filter((worker) => worker.health.state === 'healthy');
+	if (healthy.length === 0) {
+		return;
+	}
+	const chooser = policy.chooserFor(tables, pool, healthy);
+	const waiting = [...pool.teams.values()].filter((queue) => !queue.isEmpty);
+	for (let queue = nextTeam(waiting); queue !== undefined; queue = nextTeam(waiting)) {
+		if (!placeNext(tables, pool, queue, chooser)) {
+			waiting.splice(waiting.indexOf(queue), 1);
+		}
+	}
+}
+
+function nextTeam(queues: readonly TeamQueue[]): TeamQueue | undefined {
+	let next: TeamQueue | undefined;
+	for (const queue of queues) {
+		if (next === undefined || queue.virtualTime < next.virtualTime) {
+			next = queue;
+		}
+	}
+	return next;
+}
+
+/** Places one task of a team. False when the team can place nothing more in this tick. */
+function placeNext(tables: EntryTables, pool: PoolState, queue: TeamQueue, chooser: IWorkerChooser): boolean {
+	if ((tables.runningByTeam.get(queue.team) ?? 0) >= teamShare(tables, queue.team)) {
+		return false;
+	}
+	let worker: WorkerRow | undefined;
+	const job = queue.firstPossible((candidate) => {
+		worker = chooser.choose(candidate);
+		return worker !== undefined;
+	});
+	if (job === undefined || worker === undefined) {
+		return false;
+	}
+	sendTask(tables, pool, queue, job, worker);
+	return true;
+}
+
+/** Tries an ejected worker with one task of the team that is next. */
+function sendProbes(tables: EntryTables, pool: PoolState, workers: readonly WorkerRow[]): void {
+	for (const worker of workers) {
+		if (!worker.health.isProbeDue(tables.nowMs) || worker.freeSlots(tables.nowMs) <= 0) {
+			continue;
+		}
+		const queue = nextTeam([...pool.teams.values()].filter((candidate) => !candidate.isEmpty));
+		const job = queue?.firstPossible((candidate) => worker.fitsNow(candidate.submission.needs));
+		if (queue === undefined || job === undefined) {
+			return;
+		}
+		worker.health.state = 'probing';
+		sendTask(tables, pool, queue, job, worker);
+	}
+}
+
+function sendTask(
+	tables: EntryTables,
+	pool: PoolState,
+	queue: TeamQueue,
+	job: JobRow,
+	worker: WorkerRow,
+): void {
+	const taskIndex = job.peekTask();
+	if (taskIndex === undefined || worker.sessionId === undefined) {
+		throw new Error(`The job ${job.submissionId} has no queued task, or its worker has no session.`);
+	}
+	const { submissionId } = job;
+	const attempt = attemptOf(tables, job, taskIndex);
+	job.markSent(taskIndex, worker.processId);
+	worker.assign(taskKey({ submissionId, taskIndex }), {
+		submissionId,
+		taskIndex,
+		job,
+		sentMs: tables.nowMs,
+		epoch: tables.epoch,
+		attempt,
+	});
+	tables.outbox.start(worker.sessionId, job, taskIndex, attempt, tables.nowMs);
+	tables.addRunning(queue.team, 1);
+	tables.stats.startsSent += 1;
+	pool.queuedTasks -= 1;
+	pool.earnRetry();
+	pool.virtualTime = Math.max(pool.virtualTime, queue.virtualTime);
+	queue.charge();
+}
--- /dev/null
+++ b/src/entry/common/systems/tenureSystem.ts
@@ -0,0 +1,75 @@
+/** Makes this entry the home of a pool, or ends that, as the keepers' directory says. */
+
+import type { EntryTables } from '../entryTables.js';
+import type { PoolHome, PoolState, Tenure } from '../poolState.js';
+import type { EntryOutputs } from '../tickTypes.js';
+import { homeOf } from './controlSystem.js';
+
+/** Longest time that a new home waits for its workers to connect and for the earlier home's hand-over. */
+const settleMs = 1500;
+
+/** Recomputes the home of every pool. Returns the pools whose home has changed. */
+export function updateHomes(tables: EntryTables, outputs: EntryOutputs): PoolState[] {
+	const changed: PoolState[] = [];
+	for (const pool of tables.pools.values()) {
+		const before = pool.home;
+		const after = homeOf(pool.name, tables.control.directory.entries, tables.options.processId);
+		if (isSameHome(before, after)) {
+			continue;
+		}
+		pool.home = after;
+		pool.tenure = after.kind === 'self' ? beginTenure(tables, before) : undefined;
+		pool.ownedElsewhere.clear();
+		changed.push(pool);
+		logHome(tables, pool, outputs);
+	}
+	return changed;
+}
+
+/** Settles homes that know what they must, or have waited long enough. */
+export function settleHomes(tables: EntryTables): void {
+	for (const { tenure } of tables.pools.values()) {
+		if (tenure === undefined || tenure.isSettled) {
+			continue;
+		}
+		const hasWaited = tables.nowMs - tenure.sinceMs >= settleMs;
+		const hasJustStarted = tenure.sinceMs - (tables.startedMs ?? 0) < settleMs;
+		tenure.isSettled = hasWaited || (!hasJustStarted && tenure.earlierHome === undefined);
+	}
+}
+
+function beginTenure(tables: EntryTables, before: PoolHome): Tenure {
+	return { sinceMs: tables.nowMs, earlierHome: earlierHomeOf(tables, before), isSettled: false };
+}
+
+/** The earlier home, if it lives on and so may go on with jobs of its own. */
+function earlierHomeOf(tables: EntryTables, before: PoolHome): string | undefined {
+	if (before.kind !== 'other') {
+		return undefined;
+	}
+	const isListed = tables.control.directory.entries.some(
+		(entry) => entry.processId === before.processId && entry.incarnation === before.incarnation,
+	);
+	return isListed ? before.processId : undefined;
+}
+
+function logHome(tables: EntryTables, pool: PoolState, outputs: EntryOutputs): void {
+	const { home } = pool;
+	const ownName = home.kind === 'self' ? tables.options.processId : undefined;
+	outputs.events.push({
+		level: 'info',
+		event: 'pool.home.changed',
+		fields: {
+			pool: pool.name,
+			epoch: tables.epoch,
+			home: home.kind === 'other' ? home.processId : ownName,
+		},
+	});
+}
+
+function isSameHome(before: PoolHome, after: PoolHome): boolean {
+	if (before.kind === 'other' && after.kind === 'other') {
+		return before.processId === after.processId && before.incarnation === after.incarnation;
+	}
+	return before.kind === after.kind;
+}
--- /dev/null
+++ b/src/entry/node/entryDaemon.ts
@@ -0,0 +1,300 @@
+/** An entry as a process: sockets and timers around the core. */
+
+import { randomUUID } from 'node:crypto';
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { getRequestListener } from '@hono/node-server';
+import { waitFor } from '../../base/common/async.js';
+import { monotonicClock } from '../../base/common/clock.js';
+import { Disposable, toDisposable } from '../../base/common/disposable.js';
+import { describeError } from '../../base/common/errors.js';
+import type { ControlState, IControlPlane } from '../../control/common/controlPlane.js';
+import type { IDaemon } from '../../platform/daemon/node/daemon.js';
+import type { ILogService } from '../../platform/log/common/log.js';
+import { SettingsError } from '../../platform/settings/common/settingsError.js';
+import {
+	defaultConnectionLimits,
+	type ConnectionLimits,
+	type PeerIdentity,
+} from '../../platform/transport/common/transport.js';
+import { formatAddress, parseAddress } from '../../platform/transport/node/address.js';
+import type { ConnectionOptions } from '../../platform/transport/node/frameConnection.js';
+import type { ClaimRequest, MemberStatus } from '../../protocol/common/keeperMessages.js';
+import { EntryCore } from '../common/entryCore.js';
+import type { EntrySettings } from '../common/entrySettings.js';
+import { createPolicy } from '../common/policies/createPolicy.js';
+import type { EntryInput, EntryOutputs } from '../common/tickTypes.js';
+import { PeerHub } from './peerHub.js';
+import { ReaderApi } from './readerApi.js';
+import { TickLoop } from './tickLoop.js';
+
+/** Time that the keepers get to record a claim. */
+const claimTimeoutMs = 2000;
+/** Time for which a stopping entry still answers, so that the balancer sees that it is not ready. */
+const drainNoticeMs = 300;
+
+/** What an entry is started with. */
+export interface EntryDaemonOptions {
+	readonly settings: EntrySettings;
+	readonly log: ILogService;
+	/** Connects to the keepers as this process. */
+	readonly connectControl: (options: ConnectionOptions) => IControlPlane;
+	readonly limits?: ConnectionLimits;
+}
+
+/** A running entry. */
+export class EntryDaemon extends Disposable implements IDaemon {
+	private readonly _core: EntryCore;
+	private readonly _api: ReaderApi;
+	private readonly _loop: TickLoop;
+	private _isDraining = false;
+
+	private constructor(
+		private readonly _options: EntryDaemonOptions,
+		private readonly _identity: PeerIdentity,
+		private readonly _control: IControlPlane,
+		private readonly _hub: PeerHub,
+		private readonly _server: Server,
+		inputs: InputGate,
+	) {
+		super();
+		const { settings } = _options;
+		this._register(_control);
+		this._register(_hub);
+		this._core = new EntryCore(
+			{ ...settings, incarnation: _identity.incarnation },
+			createPolicy(settings.policy),
+			Math.floor(Math.random() * 2 ** 31),
+		);
+		this._loop = this._register(
+			new TickLoop({
+				core: this._core,
+				clock: monotonicClock,
+				tablesAgeMs: () => _control.ageMs(),
+				perform: (outputs) => {
+					this._perform(outputs);
+				},
+			}),
+		);
+		inputs.open((input) => {
+			this._loop.push(input);
+		});
+		this._api = new ReaderApi(
+			{
+				tables: () => _control.state.tables,
+				notReadyReason: () => this._notReadyReason(),
+				stats: () => this._stats(),
+				push: (input) => {
+					this._loop.push(input);
+				},
+			},
+			settings.maxBodyBytes,
+		);
+		this._serve();
+		this._followControl();
+	}
+
+	/**
+	 * Starts an entry. It is ready for readers once it has fresh tables.
+	 *
+	 * @throws TransportError or SettingsError when an address can't be bound
+	 * @example
+	 * const daemon = await EntryDaemon.start({ settings, log, connectControl });
+	 */
+	static async start(options: EntryDaemonOptions): Promise<EntryDaemon> {
+		const { settings, log } = options;
+		const identity: PeerIdentity = {
+			role: 'entry',
+			processId: settings.processId,
+			incarnation: randomUUID(),
+		};
+		const connection: ConnectionOptions = {
+			identity,
+			secret: settings.sharedSecret,
+			limits: options.limits ?? defaultConnectionLimits,
+		};
+		const inputs = new InputGate();
+		const hub = await PeerHub.listen(settings.peerAddress, connection, log, (input) => {
+			inputs.push(input);
+		});
+		const server = await listenHttp(settings.httpAddress);
+		const daemon = new EntryDaemon(
+			options,
+			identity,
+			options.connectControl(connection),
+			hub,
+			server,
+			inputs,
+		);
+		log.info('process.ready', { httpAddress: daemon.httpAddress, peerAddress: daemon.peerAddress });
+		return daemon;
+	}
+
+	/** Address that readers use. */
+	get httpAddress(): string {
+		const { address, port } = this._server.address() as AddressInfo;
+		return formatAddress(address, port);
+	}
+
+	/** Identity of this run. */
+	get incarnation(): string {
+		return this._identity.incarnation;
+	}
+
+	/** Address that agents and other entries connect to. */
+	get peerAddress(): string {
+		return this._hub.address;
+	}
+
+	async drain(): Promise<void> {
+		this._isDraining = true;
+		this._publishStatus();
+		this._loop.push({ kind: 'drain' });
+		const untilMs = performance.now() + drainNoticeMs;
+		const { jobs } = this._core.tables;
+		await waitFor('every job is answered', this._options.settings.drainTimeoutMs, () => {
+			return performance.now() >= untilMs && jobs.size === 0 && this._api.waitingCount === 0;
+		});
+		await closeServer(this._server);
+	}
+
+	private _serve(): void {
+		const listener = getRequestListener(this._api.createApp().fetch, {});
+		this._server.on('request', (request, response) => {
+			void listener(request, response);
+		});
+		this._register(
+			toDisposable(() => {
+				this._server.close();
+				this._server.closeAllConnections();
+			}),
+		);
+	}
+
+	private _followControl(): void {
+		this._register(
+			this._control.onDidChangeState((state) => {
+				this._applyState(state);
+			}),
+		);
+		this._applyState(this._control.state);
+	}
+
+	private _applyState(state: ControlState): void {
+		this._loop.push({ kind: 'controlState', state });
+		this._hub.follow(state.directory.entries);
+		this._publishStatus();
+	}
+
+	private _publishStatus(): void {
+		const { settings } = this._options;
+		const { tables } = this._control.state;
+		const isDrained = tables.drains.some((row) => row.name === settings.processId);
+		const status: MemberStatus = {
+			peerAddress: settings.advertisedPeerAddress ?? this.peerAddress,
+			httpAddress: this.httpAddress,
+			dataCentre: settings.dataCentre,
+			rack: settings.rack,
+			isDraining: this._isDraining || isDrained,
+			revisionInForce: tables.revision,
+		};
+		this._control.setStatus(status);
+	}
+
+	private _perform(outputs: EntryOutputs): void {
+		this._hub.send(outputs.frames);
+		this._api.answer(outputs.answers);
+		for (const claim of outputs.claims) {
+			this._claim(claim);
+		}
+		for (const release of outputs.releases) {
+			this._control.releaseClaim(release);
+		}
+		for (const { level, event, fields } of outputs.events) {
+			this._options.log[level](event, fields);
+		}
+	}
+
+	private _claim(claim: ClaimRequest): void {
+		void this._control.claim(claim, claimTimeoutMs).then((outcome) => {
+			this._loop.push({ kind: 'claimAnswered', claim, outcome });
+		});
+	}
+
+	private _notReadyReason(): string | undefined {
+		if (this._isDraining || this._core.tables.isDraining) {
+			return 'The entry is stopping.';
+		}
+		if (this._core.tables.isStale) {
+			return 'The entry has lost touch with the keepers.';
+		}
+		return undefined;
+	}
+
+	private _stats(): object {
+		const { stats, jobs, epoch, revision, workers, pools } = this._core.tables;
+		const { user, system } = process.cpuUsage();
+		return {
+			processId: this._identity.processId,
+			policy: this._options.settings.policy,
+			revision,
+			epoch,
+			openJobs: jobs.size,
+			workers: workers.size,
+			pools: [...pools.values()].map((pool) => ({
+				name: pool.name,
+				home: pool.home.kind,
+				queuedTasks: pool.queuedTasks,
+				meanRunMs: Math.round(pool.meanRunMs),
+			})),
+			counters: stats,
+			cpuMs: (user + system) / 1000,
+			rssBytes: process.memoryUsage.rss(),
+		};
+	}
+}
+
+/** Holds input back until the loop that takes it exists. */
+class InputGate {
+	private _held: EntryInput[] = [];
+	private _target: ((input: EntryInput) => void) | undefined;
+
+	push(input: EntryInput): void {
+		if (this._target === undefined) {
+			this._held.push(input);
+			return;
+		}
+		this._target(input);
+	}
+
+	open(target: (input: EntryInput) => void): void {
+		this._target = target;
+		for (const input of this._held) {
+			target(input);
+		}
+		this._held = [];
+	}
+}
+
+async function listenHttp(address: string): Promise<Server> {
+	const { host, port } = parseAddress(address);
+	const server = createServer();
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', (error) => {
+			const message = `The address ${address} can't be bound: ${describeError(error)}. Choose a free one.`;
+			reject(new SettingsError([{ file: 'settings', key: 'httpAddress', message }]));
+		});
+		server.listen({ host, port }, resolve);
+	});
+	return server;
+}
+
+/** Stops to listen, lets the last responses out and closes connections that wait for nothing. */
+function closeServer(server: Server): Promise<void> {
+	return new Promise((resolve) => {
+		server.close(() => {
+			resolve();
+		});
+		server.closeIdleConnections();
+	});
+}
--- /dev/null
+++ b/src/entry/test/fakeControlPlane.ts
@@ -0,0 +1,106 @@
+/** Keepers as an entry sees them, in memory. */
+
+import { Emitter } from '../../base/common/event.js';
+import type { ControlState, IControlPlane } from '../../control/common/controlPlane.js';
+import { emptyTables, type Tables } from '../../declarations/common/tables.js';
+import type {
+	ClaimOutcome,
+	ClaimRequest,
+	EntryMember,
+	MemberStatus,
+} from '../../protocol/common/keeperMessages.js';
+
+/** Tables with one route `lookup` in the pool `ledger`, and the not-repeatable route `excusal`. */
+export const testTables: Tables = {
+	...emptyTables,
+	revision: 1,
+	routes: ['excusal', 'lookup'].map((name) => ({
+		name,
+		pool: 'ledger',
+		defaultDeadlineMs: 5000,
+		maxDeadlineMs: 20_000,
+		maxTasksPerJob: 200,
+		maxConcurrentTasks: 10_000,
+		repeatable: name === 'lookup',
+		objectives: { answeredWithinMs: 1000, answeredWithinShare: 0.99, answeredWholeShare: 0.999 },
+	})),
+	pools: [
+		{
+			name: 'ledger',
+			maxQueuedTasks: 10_000,
+			retryBudgetShare: 0.1,
+			maxEjectedShare: 0.34,
+			spareStartsPerWorker: 0,
+		},
+	],
+	teams: [
+		{ name: 'galleries', maxRunningTasks: 1000, weight: 1 },
+		{ name: 'estates', maxRunningTasks: 1000, weight: 1 },
+	],
+};
+
+/** Claims that several entries share. */
+export class FakeClaims {
+	private readonly _owners = new Map<string, string>();
+
+	claim(request: ClaimRequest): ClaimOutcome {
+		const owner = `${request.ownerId}/${request.ownerIncarnation}`;
+		const known = this._owners.get(request.submissionId);
+		if (known !== undefined && known !== owner) {
+			return 'taken';
+		}
+		this._owners.set(request.submissionId, owner);
+		return 'granted';
+	}
+
+	release(request: ClaimRequest): void {
+		if (this._owners.get(request.submissionId) === `${request.ownerId}/${request.ownerIncarnation}`) {
+			this._owners.delete(request.submissionId);
+		}
+	}
+}
+
+/** A control plane that a test sets by hand. */
+export class FakeControlPlane implements IControlPlane {
+	private readonly _onDidChangeState = new Emitter<ControlState>();
+	readonly onDidChangeState = this._onDidChangeState.event;
+	state: ControlState;
+	age = 0;
+	status: MemberStatus | undefined;
+
+	constructor(
+		tables: Tables = testTables,
+		private readonly _claims = new FakeClaims(),
+	) {
+		this.state = { tables, directory: { epoch: 0, entries: [] } };
+	}
+
+	ageMs(): number {
+		return this.age;
+	}
+
+	setStatus(status: MemberStatus): void {
+		this.status = status;
+	}
+
+	claim(request: ClaimRequest): Promise<ClaimOutcome> {
+		return Promise.resolve(this._claims.claim(request));
+	}
+
+	releaseClaim(request: ClaimRequest): void {
+		this._claims.release(request);
+	}
+
+	/** Publishes a new directory of entries. */
+	publish(entries: readonly EntryMember[]): void {
+		this.state = {
+			...this.state,
+			directory: { epoch: this.state.directory.epoch + 1, entries },
+		};
+		this._onDidChangeState.fire(this.state);
+	}
+
+	dispose(): void {
+		this._onDidChangeState.dispose();
+	}
+}
--- a/src/protocol/common/agentMessages.ts
+++ b/src/protocol/common/agentMessages.ts
@@ -156,6 +156,8 @@
 	readonly kind: 'taskOutcomes';
 	readonly revision: number;
 	readonly outcomes: readonly TaskOutcome[];
+	/** Tasks, of all entries, that are queued or running at the agent; for policies that place by cached load. */
+	readonly openTasks?: number | undefined;
 }
 
 /** Messages that an entry sends to an agent. */
--- a/src/protocol/common/entryMessages.ts
+++ b/src/protocol/common/entryMessages.ts
@@ -30,5 +30,78 @@
 	readonly submissionIds: readonly string[];
 }
 
-/** Messages between entries. Further kinds, for quota shares and takeover, are added by the entry's own design. */
-export type EntryToEntryMessage = RelayJobsMessage | RelayAnswersMessage | RelayCancelMessage;
+/** Passes on cancellations of jobs that the sender doesn't know: the balancer sent them to another entry. */
+export interface CancelJobsMessage {
+	readonly kind: 'cancelJobs';
+	readonly revision: number;
+	/** Names that readers gave their jobs; unguessable. */
+	readonly jobIds: readonly string[];
+}
+
+/** One team's use of its quota, as one home tells the entry that shares the quota out. */
+export interface QuotaDemand {
+	readonly team: string;
+	/** Tasks that run now or wait. */
+	readonly wantedTasks: number;
+	/** Share that the home takes as granted now. */
+	readonly heldTasks: number;
+}
+
+/** Asks for shares of team quotas. */
+export interface QuotaDemandsMessage {
+	readonly kind: 'quotaDemands';
+	readonly revision: number;
+	readonly epoch: number;
+	readonly demands: readonly QuotaDemand[];
+}
+
+/** A share of one team's quota. */
+export interface QuotaGrant {
+	readonly team: string;
+	readonly maxRunningTasks: number;
+}
+
+/** Leases shares of team quotas. */
+export interface QuotaGrantsMessage {
+	readonly kind: 'quotaGrants';
+	readonly revision: number;
+	readonly epoch: number;
+	readonly grants: readonly QuotaGrant[];
+	/** Time from receipt after which the shares fall back to nothing. */
+	readonly validMs: number;
+}
+
+/** Tells the new home of a pool which shared submissions the sender goes on with. */
+export interface HandOverMessage {
+	readonly kind: 'handOver';
+	readonly revision: number;
+	readonly epoch: number;
+	readonly pool: string;
+	readonly submissionIds: readonly string[];
+	/** Answers to finished submissions with a key; the newest ones, within a bound. */
+	readonly remembered: readonly RememberedAnswer[];
+}
+
+/** The answer to a finished submission with a key. */
+export interface RememberedAnswer extends RelayAnswer {
+	readonly fingerprint?: string | undefined;
+}
+
+/** Says that the new home leaves the submissions that were named to the earlier one. */
+export interface HandOverTakenMessage {
+	readonly kind: 'handOverTaken';
+	readonly revision: number;
+	readonly epoch: number;
+	readonly pool: string;
+}
+
+/** Messages between entries. */
+export type EntryToEntryMessage =
+	| RelayJobsMessage
+	| RelayAnswersMessage
+	| RelayCancelMessage
+	| CancelJobsMessage
+	| QuotaDemandsMessage
+	| QuotaGrantsMessage
+	| HandOverMessage
+	| HandOverTakenMessage;
--- a/src/protocol/common/jobs.ts
+++ b/src/protocol/common/jobs.ts
@@ -28,6 +28,12 @@
 	readonly needs: TaskNeeds;
 	/** One JSON text a task, in the reader's order. */
 	readonly payloadsJson: readonly string[];
+	/** Hash of the tasks of a keyed job, to tell a resubmission from a key that is used for something else. */
+	readonly fingerprint?: string | undefined;
+	/** Whether another entry may already have started tasks of the submission. */
+	readonly mayHaveStarted?: boolean | undefined;
+	/** Whether the sender relayed the job to the receiver before, on a connection that broke. */
+	readonly isRepeated?: boolean | undefined;
 }
 
 /** Why a job was refused without running. */
@@ -45,6 +51,7 @@
 	| 'keepersUnreachable'
 	| 'homeUnreachable'
 	| 'settling'
+	| 'keyReused'
 	| 'cancelled';
 
 /** Why a job failed after some of its tasks may have run. */
