--- /dev/null
+++ b/src/replication/common/elections.ts
@@ -0,0 +1,141 @@
+/** Terms, pre-votes and votes. */
+
+import type { PreVoteAnswer, PreVoteMessage, VoteAnswer, VoteMessage } from './replicaMessages.js';
+import type { StepContext } from './stepContext.js';
+import { becomeFollower, resetElectionDeadline } from './roles.js';
+import { isOwnDiskVoter, isQuorum, votersOf } from './quorum.js';
+import { otherMembers, type ReplicaState } from './replicaState.js';
+import { startLeading } from './leading.js';
+
+/** Stands when the leader has been silent for too long. */
+export function tickElection(ctx: StepContext): void {
+	const { state, nowMs } = ctx;
+	if (state.role === 'leader' || nowMs < state.electionDeadlineMs) {
+		return;
+	}
+	state.leaderId = undefined;
+	resetElectionDeadline(state, nowMs);
+	if (isOwnDiskVoter(state)) {
+		startPreVote(ctx);
+	}
+}
+
+/** Answers a `preVote` without changing the term. */
+export function handlePreVote(ctx: StepContext, from: string, message: PreVoteMessage): void {
+	const { state } = ctx;
+	const isGranted = message.nextTerm > state.hard.term && !hasLiveLeader(ctx) && isUpToDate(state, message);
+	const answer = { kind: 'preVoteAnswer' as const, nextTerm: message.nextTerm, isGranted };
+	ctx.send(from, message.fromDiskId, answer, 'term');
+}
+
+/** Counts a pre-vote. */
+export function handlePreVoteAnswer(ctx: StepContext, from: string, message: PreVoteAnswer): void {
+	const { state } = ctx;
+	if (!message.isGranted && message.term > state.hard.term) {
+		becomeFollower(ctx, message.term, undefined);
+		return;
+	}
+	if (state.role !== 'preCandidate' || !message.isGranted || message.nextTerm !== state.hard.term + 1) {
+		return;
+	}
+	if (!isFromVoterDisk(state, from, message.fromDiskId)) {
+		return;
+	}
+	state.grants.add(from);
+	if (isQuorum(state, state.grants)) {
+		startElection(ctx, false);
+	}
+}
+
+/** Gives or refuses a vote. */
+export function handleVote(ctx: StepContext, from: string, message: VoteMessage): void {
+	const { state, nowMs } = ctx;
+	if (!message.isTransfer && hasLiveLeader(ctx)) {
+		return;
+	}
+	if (message.term > state.hard.term) {
+		becomeFollower(ctx, message.term, undefined);
+	}
+	const { votedFor, term } = state.hard;
+	const isFree = message.term === term && (votedFor === undefined || votedFor === from);
+	const isGranted = isFree && isUpToDate(state, message);
+	if (isGranted) {
+		resetElectionDeadline(state, nowMs);
+		if (votedFor === undefined) {
+			ctx.setHardState({ votedFor: from });
+		}
+	}
+	ctx.send(from, message.fromDiskId, { kind: 'voteAnswer', isGranted }, 'term');
+}
+
+/** Counts a vote. */
+export function handleVoteAnswer(ctx: StepContext, from: string, message: VoteAnswer): void {
+	const { state } = ctx;
+	if (message.term > state.hard.term) {
+		becomeFollower(ctx, message.term, undefined);
+		return;
+	}
+	const counts = message.isGranted && message.term === state.hard.term && state.role === 'candidate';
+	if (!counts || !isFromVoterDisk(state, from, message.fromDiskId)) {
+		return;
+	}
+	state.grants.add(from);
+	if (isQuorum(state, state.grants)) {
+		startLeading(ctx);
+	}
+}
+
+/** Begins an election in the next term. A transfer skips the pre-vote, because the leader asked for it. */
+export function startElection(ctx: StepContext, isTransfer: boolean): void {
+	const { state, nowMs } = ctx;
+	const { processId } = state.config;
+	ctx.setHardState({ term: state.hard.term + 1, votedFor: processId });
+	state.role = 'candidate';
+	state.leaderId = undefined;
+	state.grants = new Set([processId]);
+	resetElectionDeadline(state, nowMs);
+	if (isQuorum(state, state.grants)) {
+		startLeading(ctx);
+		return;
+	}
+	const { lastIndex, lastTerm } = state.log;
+	for (const voter of votersOf(otherMembers(state))) {
+		ctx.send(voter.processId, voter.diskId, { kind: 'vote', lastIndex, lastTerm, isTransfer }, 'term');
+	}
+}
+
+function startPreVote(ctx: StepContext): void {
+	const { state } = ctx;
+	state.role = 'preCandidate';
+	state.grants = new Set([state.config.processId]);
+	if (isQuorum(state, state.grants)) {
+		startElection(ctx, false);
+		return;
+	}
+	const nextTerm = state.hard.term + 1;
+	const { lastIndex, lastTerm } = state.log;
+	for (const voter of votersOf(otherMembers(state))) {
+		ctx.send(voter.processId, voter.diskId, { kind: 'preVote', nextTerm, lastIndex, lastTerm }, 'term');
+	}
+}
+
+/** Whether this keeper leads, or has heard the leader so lately that nobody has cause to stand. */
+function hasLiveLeader(ctx: StepContext): boolean {
+	const { state, nowMs } = ctx;
+	return state.role === 'leader' || nowMs - state.leaderContactMs < state.config.electionTimeoutMs;
+}
+
+/** Whether a candidate's log holds at least all that this one holds. */
+function isUpToDate(state: ReplicaState, candidate: { lastIndex: number; lastTerm: number }): boolean {
+	const { lastIndex, lastTerm } = state.log;
+	if (candidate.lastTerm !== lastTerm) {
+		return candidate.lastTerm > lastTerm;
+	}
+	return candidate.lastIndex >= lastIndex;
+}
+
+function isFromVoterDisk(state: ReplicaState, processId: string, diskId: string): boolean {
+	return votersOf(state.log.members).some(
+		(voter) => voter.processId === processId && voter.diskId === diskId,
+	);
+}
--- /dev/null
+++ b/src/replication/common/entryLog.ts
@@ -0,0 +1,130 @@
+/** The log in memory: a snapshot, and the entries that follow some point at or before it. */
+
+import { entryBytes, type LogEntry, type Snapshot } from './logEntry.js';
+import type { ReplicaMember } from './replicatedLog.js';
+
+interface MembersAt {
+	readonly index: number;
+	readonly members: readonly ReplicaMember[];
+}
+
+/** Entries by index. Positions before the first entry are covered by the snapshot. */
+export class EntryLog {
+	private _entries: LogEntry[] = [];
+	/** Index and term of the entry before the first one that is kept. */
+	private _baseIndex = 0;
+	private _baseTerm = 0;
+	private _snapshot: Snapshot | undefined;
+	/** Every change of the members that is still in the log, and the one that the snapshot holds. */
+	private _membersHistory: MembersAt[] = [];
+
+	constructor(snapshot: Snapshot | undefined, entries: readonly LogEntry[]) {
+		if (snapshot !== undefined) {
+			this.restart(snapshot);
+		}
+		this.append(entries.filter((entry) => entry.index > this._baseIndex));
+	}
+
+	/** The newest snapshot. */
+	get snapshot(): Snapshot | undefined {
+		return this._snapshot;
+	}
+
+	/** Index before the first entry that is kept. */
+	get baseIndex(): number {
+		return this._baseIndex;
+	}
+
+	get lastIndex(): number {
+		return this._baseIndex + this._entries.length;
+	}
+
+	get lastTerm(): number {
+		return this._entries.at(-1)?.term ?? this._baseTerm;
+	}
+
+	/** The members in force: those of the last change, committed or not. */
+	get members(): readonly ReplicaMember[] {
+		return this._membersHistory.at(-1)?.members ?? [];
+	}
+
+	/** Index of the last change of the members. */
+	get membersIndex(): number {
+		return this._membersHistory.at(-1)?.index ?? 0;
+	}
+
+	/** Term of an entry; `undefined` when it isn't kept or doesn't exist. */
+	termAt(index: number): number | undefined {
+		return index === this._baseIndex ? this._baseTerm : this._entryAt(index)?.term;
+	}
+
+	/** Members as of an index. */
+	membersAt(index: number): readonly ReplicaMember[] {
+		return this._membersHistory.findLast((change) => change.index <= index)?.members ?? [];
+	}
+
+	/** Appends entries that follow the last one. */
+	append(entries: readonly LogEntry[]): void {
+		for (const entry of entries) {
+			if (entry.index !== this.lastIndex + 1) {
+				throw new RangeError(`Entry ${entry.index} can't follow entry ${this.lastIndex}.`);
+			}
+			this._entries.push(entry);
+			if (entry.kind === 'members') {
+				this._membersHistory.push({ index: entry.index, members: entry.members });
+			}
+		}
+	}
+
+	/** Removes the entries behind an index. */
+	truncateAfter(index: number): void {
+		this._entries.length = Math.max(0, index - this._baseIndex);
+		this._membersHistory = this._membersHistory.filter((change) => change.index <= index);
+	}
+
+	/**
+	 * The entries from one index to another, both included, up to a number of bytes but at least one.
+	 *
+	 * @example
+	 * log.slice(peer.nextIndex, log.lastIndex, 512 * 1024);
+	 */
+	slice(fromIndex: number, toIndex: number, maxBytes = Infinity): LogEntry[] {
+		const wanted = this._entries.slice(fromIndex - this._baseIndex - 1, toIndex - this._baseIndex);
+		let bytes = 0;
+		const tooMany = wanted.findIndex((entry, position) => {
+			bytes += entryBytes(entry);
+			return position > 0 && bytes > maxBytes;
+		});
+		return tooMany < 0 ? wanted : wanted.slice(0, tooMany);
+	}
+
+	/** Takes a newer snapshot of this log and removes the entries up to an index that it covers. */
+	compact(snapshot: Snapshot, keepAfterIndex: number): void {
+		const baseTerm = this.termAt(keepAfterIndex);
+		this._snapshot = snapshot;
+		if (baseTerm === undefined || keepAfterIndex > snapshot.index) {
+			return;
+		}
+		const members = this.membersAt(keepAfterIndex);
+		this._entries = this._entries.slice(keepAfterIndex - this._baseIndex);
+		this._membersHistory = [
+			{ index: keepAfterIndex, members },
+			...this._membersHistory.filter((change) => change.index > keepAfterIndex),
+		];
+		this._baseIndex = keepAfterIndex;
+		this._baseTerm = baseTerm;
+	}
+
+	/** Replaces everything by a snapshot. */
+	restart(snapshot: Snapshot): void {
+		this._snapshot = snapshot;
+		this._entries = [];
+		this._baseIndex = snapshot.index;
+		this._baseTerm = snapshot.term;
+		this._membersHistory = [{ index: snapshot.index, members: snapshot.members }];
+	}
+
+	private _entryAt(index: number): LogEntry | undefined {
+		return this._entries[index - this._baseIndex - 1];
+	}
+}
--- /dev/null
+++ b/src/replication/common/leading.ts
@@ -0,0 +1,212 @@
+/** What a leader does: heartbeats, rounds, appends and the answers to them. */
+
+import type { AppendAnswer, HeartbeatAnswer } from './replicaMessages.js';
+import type { StepContext } from './stepContext.js';
+import { commitByQuorum } from './commits.js';
+import { becomeFollower } from './roles.js';
+import { answeringPeer, restartProbing, syncPeers } from './peers.js';
+import { ageMs, isLeaderReady } from './freshness.js';
+import { isOwnDiskVoter, leaderPatienceMs, quorumValue } from './quorum.js';
+import { maxInflightAppends, type Leadership, type PeerProgress, type ReplicaState } from './replicaState.js';
+import { sendSnapshotChunk } from './snapshotSending.js';
+
+/** Takes over the lead with an entry of the new term. */
+export function startLeading(ctx: StepContext): void {
+	const { state, nowMs } = ctx;
+	state.role = 'leader';
+	state.leaderId = state.config.processId;
+	const leadership: Leadership = {
+		firstIndex: state.log.lastIndex + 1,
+		peers: new Map(),
+		rounds: [],
+		lastRound: 0,
+		confirmedMs: nowMs,
+		confirmedCommitIndex: 0,
+		nextHeartbeatMs: nowMs,
+		transfer: undefined,
+		waiting: new Map(),
+	};
+	state.leadership = leadership;
+	ctx.append([{ kind: 'noop', index: leadership.firstIndex, term: state.hard.term }]);
+	syncPeers(ctx);
+	tickLeading(ctx);
+	sendAppendsToAll(ctx);
+}
+
+/** Starts a round of heartbeats when one is due, and steps down when no quorum has confirmed one for too long. */
+export function tickLeading(ctx: StepContext): void {
+	const { state, nowMs } = ctx;
+	const { leadership } = state;
+	if (leadership === undefined) {
+		return;
+	}
+	confirmRounds(state, leadership, nowMs);
+	if (nowMs - leadership.confirmedMs > leaderPatienceMs(state)) {
+		becomeFollower(ctx, state.hard.term, undefined);
+		return;
+	}
+	if (leadership.transfer !== undefined && nowMs > leadership.transfer.untilMs) {
+		leadership.transfer = undefined;
+	}
+	if (nowMs < leadership.nextHeartbeatMs) {
+		return;
+	}
+	leadership.nextHeartbeatMs = nowMs + state.config.heartbeatIntervalMs;
+	leadership.lastRound += 1;
+	leadership.rounds.push({
+		round: leadership.lastRound,
+		startMs: nowMs,
+		commitIndex: state.commitIndex,
+	});
+	for (const [processId, peer] of leadership.peers) {
+		sendHeartbeat(ctx, processId, peer, leadership.lastRound);
+		sendAgainWhenLost(ctx, processId, peer);
+	}
+}
+
+/** Sends new entries, or the commit index alone, to every peer that lacks them. */
+export function sendAppendsToAll(ctx: StepContext): void {
+	const { leadership, commitIndex } = ctx.state;
+	for (const [processId, peer] of leadership?.peers ?? []) {
+		sendAppends(ctx, processId, peer);
+		if (peer.sentCommitIndex < Math.min(commitIndex, peer.matchIndex)) {
+			sendHeartbeat(ctx, processId, peer, 0);
+		}
+	}
+}
+
+/** What was on the way to a peer may be lost with its old connection. */
+export function handleConnected(ctx: StepContext, to: string): void {
+	const peer = ctx.state.leadership?.peers.get(to);
+	if (peer === undefined) {
+		return;
+	}
+	sendHeartbeat(ctx, to, peer, ctx.state.leadership?.lastRound ?? 0);
+	restartProbing(peer, ctx.nowMs);
+	sendAppends(ctx, to, peer);
+}
+
+/** Takes a follower's answer to entries. */
+export function handleAppendAnswer(ctx: StepContext, from: string, message: AppendAnswer): void {
+	const peer = answeringPeer(ctx, from, message);
+	if (peer === undefined) {
+		return;
+	}
+	peer.lastProgressMs = ctx.nowMs;
+	if (!message.isMatch) {
+		if (message.prevIndex >= peer.matchIndex) {
+			restartProbing(peer, ctx.nowMs);
+			peer.nextIndex = Math.max(peer.matchIndex, Math.min(message.index, message.prevIndex - 1)) + 1;
+			sendAppends(ctx, from, peer);
+		}
+		return;
+	}
+	peer.inflightAppends = Math.max(0, peer.inflightAppends - 1);
+	peer.isProbing = false;
+	peer.sending = undefined;
+	peer.matchIndex = Math.max(peer.matchIndex, message.index);
+	peer.nextIndex = Math.max(peer.nextIndex, peer.matchIndex + 1);
+	commitByQuorum(ctx);
+	stepDownWhenRemoved(ctx);
+	sendAppendsToAll(ctx);
+}
+
+/** Takes a follower's confirmation of a round. */
+export function handleHeartbeatAnswer(ctx: StepContext, from: string, message: HeartbeatAnswer): void {
+	const peer = answeringPeer(ctx, from, message);
+	const { leadership } = ctx.state;
+	if (peer === undefined || leadership === undefined) {
+		return;
+	}
+	peer.answeredRound = Math.max(peer.answeredRound, message.round);
+	peer.echo = { sentMs: message.sentMs, receivedMs: ctx.nowMs };
+	confirmRounds(ctx.state, leadership, ctx.nowMs);
+	sendAppends(ctx, from, peer);
+}
+
+/** A leader that was removed leads until the removal is committed. */
+export function stepDownWhenRemoved(ctx: StepContext): void {
+	const { state } = ctx;
+	const isCommitted = state.log.membersIndex <= state.commitIndex;
+	if (state.role === 'leader' && isCommitted && !isOwnDiskVoter(state)) {
+		becomeFollower(ctx, state.hard.term, undefined);
+	}
+}
+
+/** Sends what the peer lacks, as far as the messages on the way allow. */
+export function sendAppends(ctx: StepContext, to: string, peer: PeerProgress): void {
+	const { state } = ctx;
+	const maxInflight = peer.isProbing ? 1 : maxInflightAppends;
+	while (peer.inflightAppends < maxInflight && peer.nextIndex <= state.log.lastIndex) {
+		const prevIndex = peer.nextIndex - 1;
+		const prevTerm = state.log.termAt(prevIndex);
+		if (prevTerm === undefined || peer.sending !== undefined) {
+			sendSnapshotChunk(ctx, to, peer);
+			return;
+		}
+		const entries = state.log.slice(peer.nextIndex, state.log.lastIndex, state.config.maxAppendBytes);
+		const { commitIndex } = state;
+		ctx.send(to, peer.diskId, { kind: 'append', prevIndex, prevTerm, entries, commitIndex }, 'term');
+		peer.nextIndex += entries.length;
+		peer.inflightAppends += 1;
+		peer.lastProgressMs = ctx.nowMs;
+		peer.sentCommitIndex = Math.min(commitIndex, peer.nextIndex - 1);
+	}
+}
+
+function sendAgainWhenLost(ctx: StepContext, to: string, peer: PeerProgress): void {
+	const { state, nowMs } = ctx;
+	const isBehind = peer.matchIndex < state.log.lastIndex;
+	if (isBehind && nowMs - peer.lastProgressMs > state.config.electionTimeoutMs) {
+		restartProbing(peer, nowMs);
+		sendAppends(ctx, to, peer);
+	}
+}
+
+function sendHeartbeat(ctx: StepContext, to: string, peer: PeerProgress, round: number): void {
+	const { state, nowMs } = ctx;
+	const age = ageMs(state, nowMs);
+	const commitIndex = Math.min(state.commitIndex, peer.matchIndex);
+	peer.sentCommitIndex = Math.max(peer.sentCommitIndex, commitIndex);
+	ctx.send(
+		to,
+		peer.diskId,
+		{
+			kind: 'heartbeat',
+			commitIndex,
+			round,
+			freshIndex: state.commitIndex,
+			ageMs: Number.isFinite(age) ? age : undefined,
+			echoMs: peer.echo?.sentMs,
+			heldMs: peer.echo === undefined ? 0 : nowMs - peer.echo.receivedMs,
+		},
+		'term',
+	);
+}
+
+function confirmRounds(state: ReplicaState, leadership: Leadership, nowMs: number): void {
+	const confirmedRound = quorumValue(state, Infinity, (peer) => peer.answeredRound);
+	if (confirmedRound === Infinity) {
+		leadership.confirmedMs = nowMs;
+		leadership.confirmedCommitIndex = state.commitIndex;
+		leadership.rounds = [];
+		return;
+	}
+	const confirmed = leadership.rounds.findLast((each) => each.round <= confirmedRound);
+	if (confirmed === undefined) {
+		return;
+	}
+	leadership.confirmedMs = confirmed.startMs;
+	leadership.confirmedCommitIndex = confirmed.commitIndex;
+	leadership.rounds = leadership.rounds.filter((each) => each.round > confirmedRound);
+}
+
+/** Whether the leader takes commands now. */
+export function takesProposals(state: ReplicaState): state is ReplicaState & { leadership: Leadership } {
+	return state.leadership !== undefined && state.leadership.transfer === undefined;
+}
+
+/** Whether a change of the members may begin: one at a time, and none before the leader's own first entry. */
+export function takesMemberChange(state: ReplicaState, leadership: Leadership): boolean {
+	return isLeaderReady(state, leadership) && state.log.membersIndex <= state.commitIndex;
+}
--- /dev/null
+++ b/src/replication/common/membership.ts
@@ -0,0 +1,195 @@
+/** Changes of the group, one member a step. */
+
+import { isSilent, hasLiveQuorum, votersOf } from './quorum.js';
+import type { JoinMessage } from './replicaMessages.js';
+import type { MemberChange, ReplicaMember } from './replicatedLog.js';
+import type { Leadership, ReplicaState } from './replicaState.js';
+import { sendAppendsToAll, takesMemberChange, takesProposals } from './leading.js';
+import { syncPeers } from './peers.js';
+import type { StepContext } from './stepContext.js';
+
+/** Appends a change that an operator asked for, or refuses it with the reason. */
+export function changeMember(ctx: StepContext, change: MemberChange): void {
+	const { state } = ctx;
+	if (!takesProposals(state)) {
+		ctx.outputs.push({ kind: 'refused', reason: 'This keeper does not lead the group; ask the leader.' });
+		return;
+	}
+	const planned = planChange(state, state.leadership, change, ctx.nowMs);
+	if (typeof planned === 'string') {
+		ctx.outputs.push({ kind: 'refused', reason: planned });
+		return;
+	}
+	const firstIndex = appendMembers(ctx, planned);
+	ctx.outputs.push({ kind: 'appended', firstIndex, term: state.hard.term });
+}
+
+/**
+ * Takes in a keeper that came with an empty disk. One that is listed with another disk becomes a learner in its old
+ * place, unless the old disk still answers: then two processes use one name. One that isn't listed waits for an
+ * operator.
+ */
+export function handleJoin(ctx: StepContext, message: JoinMessage): void {
+	const { state, nowMs } = ctx;
+	const { processId, address, diskId } = message;
+	if (!takesProposals(state) || message.groupId !== state.hard.groupId) {
+		return;
+	}
+	const { leadership } = state;
+	const listed = state.log.members.find((member) => member.processId === processId);
+	if (listed === undefined) {
+		leadership.waiting.set(processId, { address, diskId });
+		return;
+	}
+	const peer = leadership.peers.get(processId);
+	const isOldDiskLive = peer !== undefined && !isSilent(state, peer, nowMs);
+	if (listed.diskId === diskId || isOldDiskLive || !takesMemberChange(state, leadership)) {
+		return;
+	}
+	const learner = { processId, address, diskId, isVoter: false, isRejoining: true };
+	const members = replaceMember(state.log.members, learner);
+	if (hasLiveQuorum(state, members, nowMs)) {
+		appendMembers(ctx, members);
+	}
+}
+
+/** Makes a rejoining learner a voter once it has all that was committed when the last confirmed round began. */
+export function promoteCaughtUp(ctx: StepContext): void {
+	const { state, nowMs } = ctx;
+	if (!takesProposals(state) || !takesMemberChange(state, state.leadership)) {
+		return;
+	}
+	const { leadership } = state;
+	const learner = state.log.members.find(
+		(member) =>
+			member.isRejoining === true && !member.isVoter && hasCaughtUp(state, leadership, member, nowMs),
+	);
+	if (learner !== undefined) {
+		appendMembers(ctx, promote(state.log.members, learner));
+	}
+}
+
+function planChange(
+	state: ReplicaState,
+	leadership: Leadership,
+	change: MemberChange,
+	nowMs: number,
+): readonly ReplicaMember[] | string {
+	if (!takesMemberChange(state, leadership)) {
+		return 'An earlier change of the members is not committed yet; try again in a moment.';
+	}
+	switch (change.action) {
+		case 'addLearner':
+			return planLearner(state, leadership, change.member, nowMs);
+		case 'promote':
+			return planPromotion(state, leadership, change.processId, nowMs);
+		case 'remove':
+			return planRemoval(state, change.processId, nowMs);
+	}
+}
+
+function planLearner(
+	state: ReplicaState,
+	leadership: Leadership,
+	member: ReplicaMember,
+	nowMs: number,
+): readonly ReplicaMember[] | string {
+	const { processId } = member;
+	const waiting = leadership.waiting.get(processId);
+	const diskId = member.diskId === '' ? waiting?.diskId : member.diskId;
+	if (diskId === undefined) {
+		return `The keeper "${processId}" has not asked to join; start it with an empty data folder first.`;
+	}
+	const { members } = state.log;
+	if (members.some((listed) => listed.processId === processId && listed.diskId === diskId)) {
+		return `The keeper "${processId}" is a member with this disk already.`;
+	}
+	const planned = replaceMember(members, { processId, address: member.address, diskId, isVoter: false });
+	return requireLiveQuorum(state, planned, nowMs);
+}
+
+function planPromotion(
+	state: ReplicaState,
+	leadership: Leadership,
+	processId: string,
+	nowMs: number,
+): readonly ReplicaMember[] | string {
+	const member = state.log.members.find((listed) => listed.processId === processId);
+	if (member === undefined) {
+		return `The keeper "${processId}" is not a member; add it as a learner first.`;
+	}
+	if (member.isVoter) {
+		return `The keeper "${processId}" is a voter already.`;
+	}
+	if (!hasCaughtUp(state, leadership, member, nowMs)) {
+		const matchIndex = leadership.peers.get(processId)?.matchIndex ?? 0;
+		return (
+			`The learner "${processId}" has ${matchIndex} of ${state.commitIndex} entries; ` +
+			'wait until it has caught up.'
+		);
+	}
+	return promote(state.log.members, member);
+}
+
+function planRemoval(
+	state: ReplicaState,
+	processId: string,
+	nowMs: number,
+): readonly ReplicaMember[] | string {
+	const { members } = state.log;
+	const planned = members.filter((member) => member.processId !== processId);
+	if (planned.length === members.length) {
+		return `The keeper "${processId}" is not a member.`;
+	}
+	if (votersOf(planned).length === 0) {
+		return `The keeper "${processId}" is the last voter and can't be removed.`;
+	}
+	return requireLiveQuorum(state, planned, nowMs);
+}
+
+function requireLiveQuorum(
+	state: ReplicaState,
+	planned: readonly ReplicaMember[],
+	nowMs: number,
+): readonly ReplicaMember[] | string {
+	if (votersOf(planned).length === 0) {
+		return 'The change would leave the group without a voter.';
+	}
+	if (!hasLiveQuorum(state, planned, nowMs)) {
+		return 'The change would leave the group without a quorum of live voters; start the silent ones first.';
+	}
+	return planned;
+}
+
+function hasCaughtUp(
+	state: ReplicaState,
+	leadership: Leadership,
+	member: ReplicaMember,
+	nowMs: number,
+): boolean {
+	const peer = leadership.peers.get(member.processId);
+	return (
+		peer?.diskId === member.diskId &&
+		!isSilent(state, peer, nowMs) &&
+		peer.matchIndex >= leadership.firstIndex &&
+		peer.matchIndex >= leadership.confirmedCommitIndex
+	);
+}
+
+function appendMembers(ctx: StepContext, members: readonly ReplicaMember[]): number {
+	const { state } = ctx;
+	const index = state.log.lastIndex + 1;
+	ctx.append([{ kind: 'members', index, term: state.hard.term, members }]);
+	syncPeers(ctx);
+	sendAppendsToAll(ctx);
+	return index;
+}
+
+function replaceMember(members: readonly ReplicaMember[], member: ReplicaMember): readonly ReplicaMember[] {
+	return [...members.filter((listed) => listed.processId !== member.processId), member];
+}
+
+function promote(members: readonly ReplicaMember[], learner: ReplicaMember): readonly ReplicaMember[] {
+	const { processId, address, diskId } = learner;
+	return replaceMember(members, { processId, address, diskId, isVoter: true });
+}
--- /dev/null
+++ b/src/replication/common/peers.ts
@@ -0,0 +1,69 @@
+/** The leader's table of the other members. */
+
+import type { ReplicaMember } from './replicatedLog.js';
+import { otherMembers, type PeerProgress, type ReplicaState } from './replicaState.js';
+import { becomeFollower } from './roles.js';
+import type { StepContext } from './stepContext.js';
+
+/** Follows a change of the members: new ones are sent to, old ones no more. */
+export function syncPeers(ctx: StepContext): void {
+	const { state, nowMs } = ctx;
+	if (state.leadership === undefined) {
+		return;
+	}
+	const { peers } = state.leadership;
+	const members = otherMembers(state);
+	for (const [processId, peer] of peers) {
+		if (!members.some((member) => member.processId === processId && member.diskId === peer.diskId)) {
+			peers.delete(processId);
+		}
+	}
+	for (const member of members) {
+		if (!peers.has(member.processId)) {
+			peers.set(member.processId, createProgress(state, member, nowMs));
+		}
+	}
+}
+
+/** The peer that a message of the present term came from; a newer term ends this one. */
+export function answeringPeer(
+	ctx: StepContext,
+	from: string,
+	message: { readonly term: number; readonly fromDiskId: string },
+): PeerProgress | undefined {
+	const { state, nowMs } = ctx;
+	if (message.term > state.hard.term) {
+		becomeFollower(ctx, message.term, undefined);
+		return undefined;
+	}
+	const peer = state.leadership?.peers.get(from);
+	if (message.term !== state.hard.term || peer?.diskId !== message.fromDiskId) {
+		return undefined;
+	}
+	peer.lastAnswerMs = nowMs;
+	return peer;
+}
+
+function createProgress(state: ReplicaState, member: ReplicaMember, nowMs: number): PeerProgress {
+	return {
+		diskId: member.diskId,
+		matchIndex: 0,
+		nextIndex: Math.max(1, state.log.lastIndex),
+		isProbing: true,
+		inflightAppends: 0,
+		sentCommitIndex: 0,
+		lastAnswerMs: nowMs,
+		lastProgressMs: nowMs,
+		answeredRound: 0,
+		echo: undefined,
+		sending: undefined,
+	};
+}
+
+/** Looks anew for the point up to which the logs agree. */
+export function restartProbing(peer: PeerProgress, nowMs: number): void {
+	peer.isProbing = true;
+	peer.inflightAppends = 0;
+	peer.nextIndex = peer.matchIndex + 1;
+	peer.lastProgressMs = nowMs;
+}
--- /dev/null
+++ b/src/replication/common/replicaCore.ts
@@ -0,0 +1,233 @@
+/** The core of a keeper: a deterministic function from its tables, an input and a time to outputs. */
+
+import { match } from 'ts-pattern';
+import { commitByQuorum } from './commits.js';
+import {
+	handlePreVote,
+	handlePreVoteAnswer,
+	handleVote,
+	handleVoteAnswer,
+	tickElection,
+} from './elections.js';
+import { handleAppend, handleHeartbeat, handleStandNow } from './following.js';
+import { handleProbe, handleProbeAnswer, tickFormation } from './formation.js';
+import {
+	handleAppendAnswer,
+	handleConnected,
+	handleHeartbeatAnswer,
+	sendAppendsToAll,
+	stepDownWhenRemoved,
+	takesProposals,
+	tickLeading,
+} from './leading.js';
+import type { LogEntry, Snapshot } from './logEntry.js';
+import { changeMember, handleJoin, promoteCaughtUp } from './membership.js';
+import { votersOf } from './quorum.js';
+import type { GroupMessage, ReplicaMessage } from './replicaMessages.js';
+import { otherMembers, type ReplicaInput, type ReplicaOutput, type ReplicaState } from './replicaState.js';
+import { becomeFollower, noteLeader } from './roles.js';
+import { handleSnapshotChunk } from './snapshotReceiving.js';
+import { handleSnapshotChunkAnswer } from './snapshotSending.js';
+import { handleWritten, StepContext } from './stepContext.js';
+
+/** Kinds of messages by which a keeper with an empty disk may learn its group. */
+const adoptingKinds: ReadonlySet<string> = new Set([
+	'preVote',
+	'vote',
+	'append',
+	'heartbeat',
+	'snapshotChunk',
+]);
+
+/**
+ * Handles one input. Changes the state in place and returns what is to be done, in order.
+ *
+ * @param nowMs the keeper's monotonic clock
+ * @example
+ * for (const output of step(state, { kind: 'tick' }, clock.nowMs())) { perform(output); }
+ */
+export function step(state: ReplicaState, input: ReplicaInput, nowMs: number): ReplicaOutput[] {
+	const ctx = new StepContext(state, nowMs);
+	match(input)
+		.with({ kind: 'tick' }, () => {
+			tick(ctx);
+		})
+		.with({ kind: 'receive' }, ({ from, message }) => {
+			receive(ctx, from, message);
+		})
+		.with({ kind: 'connected' }, ({ to }) => {
+			handleConnected(ctx, to);
+		})
+		.with({ kind: 'propose' }, ({ commands }) => {
+			propose(ctx, commands);
+		})
+		.with({ kind: 'changeMember' }, ({ change }) => {
+			changeMember(ctx, change);
+		})
+		.with({ kind: 'transfer' }, () => {
+			transfer(ctx);
+		})
+		.with({ kind: 'written' }, ({ sequence }) => {
+			handleWritten(ctx, sequence);
+			commitByQuorum(ctx);
+			stepDownWhenRemoved(ctx);
+			sendAppendsToAll(ctx);
+		})
+		.with({ kind: 'snapshotStored' }, ({ snapshot }) => {
+			compact(ctx, snapshot);
+		})
+		.exhaustive();
+	return ctx.finish();
+}
+
+function tick(ctx: StepContext): void {
+	tickFormation(ctx);
+	tickElection(ctx);
+	tickLeading(ctx);
+	promoteCaughtUp(ctx);
+}
+
+function receive(ctx: StepContext, from: string, message: ReplicaMessage): void {
+	ctx.state.lastHeardMs.set(from, ctx.nowMs);
+	switch (message.kind) {
+		case 'probe':
+			handleProbe(ctx, from);
+			return;
+		case 'probeAnswer':
+			handleProbeAnswer(ctx, from, message);
+			return;
+		case 'join':
+			handleJoin(ctx, message);
+			return;
+		default:
+			receiveGroupMessage(ctx, from, message);
+	}
+}
+
+function receiveGroupMessage(ctx: StepContext, from: string, message: GroupMessage): void {
+	if (!isForThisKeeper(ctx, message)) {
+		return;
+	}
+	match(message)
+		.with({ kind: 'preVote' }, (preVote) => {
+			handlePreVote(ctx, from, preVote);
+		})
+		.with({ kind: 'preVoteAnswer' }, (answer) => {
+			handlePreVoteAnswer(ctx, from, answer);
+		})
+		.with({ kind: 'vote' }, (vote) => {
+			handleVote(ctx, from, vote);
+		})
+		.with({ kind: 'voteAnswer' }, (answer) => {
+			handleVoteAnswer(ctx, from, answer);
+		})
+		.with({ kind: 'appendAnswer' }, (answer) => {
+			handleAppendAnswer(ctx, from, answer);
+		})
+		.with({ kind: 'heartbeatAnswer' }, (answer) => {
+			handleHeartbeatAnswer(ctx, from, answer);
+		})
+		.with({ kind: 'snapshotChunkAnswer' }, (answer) => {
+			handleSnapshotChunkAnswer(ctx, from, answer);
+		})
+		.with({ kind: 'standNow' }, (request) => {
+			handleStandNow(ctx, request);
+		})
+		.with({ kind: 'append' }, { kind: 'heartbeat' }, { kind: 'snapshotChunk' }, (fromLeader) => {
+			receiveFromLeader(ctx, from, fromLeader);
+		})
+		.exhaustive();
+}
+
+function receiveFromLeader(
+	ctx: StepContext,
+	from: string,
+	message: Extract<GroupMessage, { kind: 'append' | 'heartbeat' | 'snapshotChunk' }>,
+): void {
+	const { hard } = ctx.state;
+	if (message.term < hard.term) {
+		// The answer's newer term makes the old leader step down.
+		const answer = { kind: 'heartbeatAnswer' as const, round: 0, sentMs: ctx.nowMs };
+		ctx.send(from, message.fromDiskId, answer, 'term');
+		return;
+	}
+	if (message.term > hard.term) {
+		becomeFollower(ctx, message.term, from);
+	}
+	noteLeader(ctx, from);
+	match(message)
+		.with({ kind: 'append' }, (append) => {
+			handleAppend(ctx, from, append);
+		})
+		.with({ kind: 'heartbeat' }, (heartbeat) => {
+			handleHeartbeat(ctx, from, heartbeat);
+		})
+		.with({ kind: 'snapshotChunk' }, (chunk) => {
+			handleSnapshotChunk(ctx, from, chunk);
+		})
+		.exhaustive();
+}
+
+/** Whether a message concerns this keeper's group and disk. A new disk learns its group here. */
+function isForThisKeeper(ctx: StepContext, message: GroupMessage): boolean {
+	const { hard } = ctx.state;
+	if (message.toDiskId !== hard.diskId) {
+		return false;
+	}
+	if (hard.groupId === undefined && adoptingKinds.has(message.kind)) {
+		ctx.setHardState({ groupId: message.groupId });
+		return true;
+	}
+	return message.groupId === hard.groupId;
+}
+
+function propose(ctx: StepContext, commands: readonly Uint8Array[]): void {
+	const { state } = ctx;
+	if (!takesProposals(state)) {
+		ctx.outputs.push({ kind: 'refused', reason: 'This keeper does not lead the group.' });
+		return;
+	}
+	const firstIndex = state.log.lastIndex + 1;
+	const { term } = state.hard;
+	const entries: LogEntry[] = commands.map((command, position) => ({
+		kind: 'command',
+		index: firstIndex + position,
+		term,
+		command,
+	}));
+	ctx.append(entries);
+	ctx.outputs.push({ kind: 'appended', firstIndex, term });
+	sendAppendsToAll(ctx);
+}
+
+/** Asks the voter that has most of the log to stand, and takes no more commands until it has or time is up. */
+function transfer(ctx: StepContext): void {
+	const { state, nowMs } = ctx;
+	if (!takesProposals(state)) {
+		return;
+	}
+	const { leadership } = state;
+	const candidates = votersOf(otherMembers(state))
+		.flatMap((voter) => {
+			const peer = leadership.peers.get(voter.processId);
+			return peer === undefined ? [] : [{ processId: voter.processId, peer }];
+		})
+		.sort((left, right) => right.peer.matchIndex - left.peer.matchIndex);
+	const [target] = candidates;
+	if (target === undefined) {
+		return;
+	}
+	leadership.transfer = { targetId: target.processId, untilMs: nowMs + state.config.electionTimeoutMs };
+	ctx.send(target.processId, target.peer.diskId, { kind: 'standNow' }, 'term');
+}
+
+/** Lets go the entries that a stored snapshot covers, but for some that a follower slightly behind may need. */
+function compact(ctx: StepContext, snapshot: Snapshot): void {
+	const { state } = ctx;
+	if (snapshot.index <= (state.log.snapshot?.index ?? 0) || snapshot.index > state.commitIndex) {
+		return;
+	}
+	const keepAfterIndex = Math.max(state.log.baseIndex, snapshot.index - state.config.trailingEntries);
+	state.log.compact(snapshot, keepAfterIndex);
+	ctx.dropBefore(keepAfterIndex + 1);
+}
--- a/src/replication/common/replicatedLog.ts
+++ b/src/replication/common/replicatedLog.ts
@@ -25,6 +25,8 @@
 	readonly isVoter: boolean;
 	/** Identity of the member's disk; a keeper with a lost disk comes back with a new one. */
 	readonly diskId: string;
+	/** Whether the leader makes this learner a voter by itself, because the member was one before it lost its disk. */
+	readonly isRejoining?: boolean | undefined;
 }
 
 /** What a keeper knows about its group. */
@@ -78,7 +80,10 @@
 	transferLeadership(timeoutMs: number): Promise<void>;
 }
 
-/** A single-step change of the group. */
+/**
+ * A single-step change of the group. `addLearner` with an empty `diskId` takes the disk that the keeper reported when
+ * it asked to join.
+ */
 export type MemberChange =
 	| { readonly action: 'addLearner'; readonly member: ReplicaMember }
 	| { readonly action: 'promote'; readonly processId: string }
--- /dev/null
+++ b/src/replication/common/snapshotSending.ts
@@ -0,0 +1,51 @@
+/** Sends a snapshot in parts to a follower that is too far behind for entries. */
+
+import type { SnapshotChunkAnswer } from './replicaMessages.js';
+import type { PeerProgress } from './replicaState.js';
+import type { StepContext } from './stepContext.js';
+import { answeringPeer } from './peers.js';
+
+/** Sends the next part, one at a time. The snapshot that was begun is finished, although a newer one may exist. */
+export function sendSnapshotChunk(ctx: StepContext, to: string, peer: PeerProgress): void {
+	const { state, nowMs } = ctx;
+	const snapshot = peer.sending?.snapshot ?? state.log.snapshot;
+	if (snapshot === undefined) {
+		return;
+	}
+	peer.sending ??= { snapshot, offsetBytes: 0 };
+	peer.isProbing = true;
+	peer.inflightAppends = 1;
+	peer.lastProgressMs = nowMs;
+	const { offsetBytes } = peer.sending;
+	ctx.send(
+		to,
+		peer.diskId,
+		{
+			kind: 'snapshotChunk',
+			snapshotIndex: snapshot.index,
+			snapshotTerm: snapshot.term,
+			members: snapshot.members,
+			offsetBytes,
+			totalBytes: snapshot.data.length,
+			bytes: snapshot.data.subarray(offsetBytes, offsetBytes + state.config.chunkBytes),
+		},
+		'term',
+	);
+}
+
+/** Goes on from where the follower is. */
+export function handleSnapshotChunkAnswer(
+	ctx: StepContext,
+	from: string,
+	message: SnapshotChunkAnswer,
+): void {
+	const peer = answeringPeer(ctx, from, message);
+	if (peer?.sending?.snapshot.index !== message.snapshotIndex) {
+		return;
+	}
+	if (message.receivedBytes === peer.sending.offsetBytes && message.receivedBytes > 0) {
+		return;
+	}
+	peer.sending.offsetBytes = message.receivedBytes;
+	sendSnapshotChunk(ctx, from, peer);
+}
