Replicate the log over the group of keepers

Cause: the landed ReplicatedLog served one keeper only.

ReplicatedLog.open keeps its form; a keeper alone has its state machine whole before open returns. ProposeErrorKind gains 'refused' for changes of members. changeMember takes the disk that a waiting keeper reported.

Found by tests, seen red first: work given to a stopped log was lost in the router without an answer (the test of a failed sync hung until its timeout); a stopped log now refuses at once.

--- a/src/replication/common/entryLog.ts
+++ b/src/replication/common/entryLog.ts
@@ -89,13 +89,19 @@
 	 * log.slice(peer.nextIndex, log.lastIndex, 512 * 1024);
 	 */
 	slice(fromIndex: number, toIndex: number, maxBytes = Infinity): LogEntry[] {
-		const wanted = this._entries.slice(fromIndex - this._baseIndex - 1, toIndex - this._baseIndex);
+		const start = fromIndex - this._baseIndex - 1;
+		const limit = Math.min(toIndex - this._baseIndex, this._entries.length);
+		let end = start;
 		let bytes = 0;
-		const tooMany = wanted.findIndex((entry, position) => {
-			bytes += entryBytes(entry);
-			return position > 0 && bytes > maxBytes;
-		});
-		return tooMany < 0 ? wanted : wanted.slice(0, tooMany);
+		while (end < limit) {
+			const entry = this._entries[end];
+			bytes += entry === undefined ? 0 : entryBytes(entry);
+			if (end > start && bytes > maxBytes) {
+				break;
+			}
+			end += 1;
+		}
+		return this._entries.slice(start, end);
 	}
 
 	/** Takes a newer snapshot of this log and removes the entries up to an index that it covers. */
--- a/src/replication/common/replicaState.ts
+++ b/src/replication/common/replicaState.ts
@@ -186,6 +186,8 @@
  */
 export function createReplicaState(start: ReplicaStart): ReplicaState {
 	const log = new EntryLog(start.snapshot, start.entries);
+	const isAlone = log.members.length === 1;
+	const patienceMs = isAlone ? 0 : start.config.electionTimeoutMs * (1 + start.config.random());
 	return {
 		config: start.config,
 		hard: start.hard,
@@ -196,7 +198,7 @@
 		durableIndex: log.lastIndex,
 		lastSequence: 0,
 		pendingWrites: [],
-		electionDeadlineMs: start.nowMs + start.config.electionTimeoutMs * (1 + start.config.random()),
+		electionDeadlineMs: start.nowMs + patienceMs,
 		leaderContactMs: -Infinity,
 		grants: new Set(),
 		leadership: undefined,
--- a/src/replication/common/replicatedLog.ts
+++ b/src/replication/common/replicatedLog.ts
@@ -44,7 +44,9 @@
 	/** Nothing was appended anywhere: no leader is known or the group has no quorum. */
 	| 'noLeader'
 	/** The command may or may not be committed; ask again with the same request id. */
-	| 'unknown';
+	| 'unknown'
+	/** A change of the members that the group can't take now; the message says why. Nothing was appended. */
+	| 'refused';
 
 /** A command without a known result. */
 export class ProposeError extends Error {
--- a/src/replication/node/replicaStorage.ts
+++ b/src/replication/node/replicaStorage.ts
@@ -1,7 +1,7 @@
 /** A keeper's files: hard state, log and snapshots under one data folder. */
 
 import { randomUUID } from 'node:crypto';
-import { mkdir, readdir, unlink } from 'node:fs/promises';
+import { mkdir, readdir, rm } from 'node:fs/promises';
 import path from 'node:path';
 import { damagedFile } from '../../platform/storage/common/storageError.js';
 import type { SyncFile } from '../../platform/storage/node/diskAccess.js';
@@ -116,7 +116,7 @@
 		await writeDurableFile(file, encodeSnapshotFile(snapshot), this._options.syncFile);
 		for (const index of await listSnapshots(this._folder)) {
 			if (index < snapshot.index) {
-				await unlink(path.join(this._folder, snapshotName(index)));
+				await rm(path.join(this._folder, snapshotName(index)), { force: true });
 			}
 		}
 		await syncFolder(this._folder);
--- a/src/replication/node/replicatedLog.ts
+++ b/src/replication/node/replicatedLog.ts
@@ -1,20 +1,45 @@
-/** A keeper's replicated log. This version serves a group of one. */
+/** A keeper's replicated log: the core with its disk, its connections and its clock. */
 
+import { randomUUID } from 'node:crypto';
 import { Ok, type Result } from 'ts-results-es';
-import { Deferred } from '../../base/common/async.js';
-import { Disposable } from '../../base/common/disposable.js';
+import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { describeError } from '../../base/common/errors.js';
 import { Emitter } from '../../base/common/event.js';
-import type { IConnection } from '../../platform/transport/common/transport.js';
-import type { CommandEntry } from '../common/logEntry.js';
-import type { IReplicatedLog, ProposeError, ReplicaStatus } from '../common/replicatedLog.js';
+import type { IConnection, Message } from '../../platform/transport/common/transport.js';
+import type { ForwardAnswerMessage, ForwardMessage } from '../common/forwardMessages.js';
+import { ageMs } from '../common/freshness.js';
+import type { LogEntry, Snapshot } from '../common/logEntry.js';
+import { step } from '../common/replicaCore.js';
+import type { ReplicaMessage } from '../common/replicaMessages.js';
+import {
+	createReplicaState,
+	type ReplicaInput,
+	type ReplicaOutput,
+	type ReplicaState,
+} from '../common/replicaState.js';
+import { describeNoLeader, statusOf } from '../common/replicaStatus.js';
+import type { IReplicatedLog, MemberChange, ProposeError, ReplicaStatus } from '../common/replicatedLog.js';
+import { DiskWriter } from './diskWriter.js';
+import { noFaults, type FaultPointHandler } from './faultPoints.js';
+import { PeerLinks } from './peerLinks.js';
 import type { ReplicatedLogOptions } from './replicatedLogOptions.js';
 import { ReplicaStorage } from './replicaStorage.js';
+import { defaultSnapshotAfterBytes, SnapshotTaker } from './snapshotTaker.js';
+import { WorkRouter } from './workRouter.js';
 
-interface Proposal {
-	readonly entry: CommandEntry;
-	readonly result: Deferred<Result<Uint8Array, ProposeError>>;
-}
+/** Bytes of entries in one message. */
+const maxAppendBytes = 512 * 1024;
+
+/** Bytes of a snapshot in one message. */
+const snapshotChunkBytes = 512 * 1024;
+
+/** Entries kept behind a snapshot, so that a keeper that restarts is served with entries. */
+const trailingEntries = 10_000;
+
+/** Longest time between ticks. */
+const maxTickMs = 25;
+
+const nothing = new Uint8Array(0);
 
 /** The replicated log of one keeper. */
 export class ReplicatedLog extends Disposable implements IReplicatedLog {
@@ -24,110 +49,330 @@
 	private readonly _onDidApply = this._register(new Emitter<number>());
 	readonly onDidApply = this._onDidApply.event;
 
-	private _queue: Proposal[] = [];
-	private _nextIndex: number;
-	private _appliedIndex = 0;
-	private _writing: Promise<void> | undefined;
-	private _isStopped = false;
+	private readonly _state: ReplicaState;
+	private readonly _writer: DiskWriter;
+	private readonly _snapshots: SnapshotTaker;
+	private readonly _links: PeerLinks;
+	private readonly _router: WorkRouter;
+	private readonly _faultPoints: FaultPointHandler;
+	private _status: ReplicaStatus;
+	private _stopReason: string | undefined;
+	private _closing: Promise<void> | undefined;
 
 	private constructor(
 		private readonly _options: ReplicatedLogOptions,
 		private readonly _storage: ReplicaStorage,
 	) {
 		super();
-		const { entries } = _storage.stored;
-		for (const entry of entries) {
-			if (entry.kind === 'command') {
-				_options.stateMachine.apply(entry.index, entry.command);
-			}
-			this._appliedIndex = entry.index;
-		}
-		this._nextIndex = this._appliedIndex + 1;
+		const { processId, connection, clock, stateMachine } = _options;
+		this._faultPoints = _options.faultPoints ?? noFaults;
+		this._state = createState(_options, _storage);
+		this._writer = this._register(new DiskWriter(_storage, this._faultPoints));
+		const snapshotAfterBytes = _options.snapshotAfterBytes ?? defaultSnapshotAfterBytes;
+		this._snapshots = this._register(new SnapshotTaker(_storage, stateMachine, snapshotAfterBytes));
+		this._links = this._register(new PeerLinks(processId, connection));
+		const host = {
+			state: this._state,
+			step: (input: ReplicaInput) => this._step(input),
+			send: (to: string, message: Message) => this._links.send(to, message),
+		};
+		this._router = this._register(new WorkRouter(host, clock));
+		this._status = statusOf(this._state);
+		this._restoreFromDisk();
+		this._wire();
 	}
 
 	/**
 	 * Opens the data folder, restores the state machine and takes part in the group.
 	 *
 	 * @throws StorageError when the folder is locked, damaged or can't be written
+	 * @example
+	 * const log = await ReplicatedLog.open({ dataFolder, processId, address, initialMembers, stateMachine, ...rest });
+	 * listener.onDidConnect((connection) => log.acceptPeer(connection));
 	 */
 	static async open(options: ReplicatedLogOptions): Promise<ReplicatedLog> {
-		const storage = await ReplicaStorage.open(options.dataFolder, { syncFile: options.syncFile });
-		return new ReplicatedLog(options, storage);
+		const storage = await ReplicaStorage.open(options.dataFolder, {
+			syncFile: options.syncFile,
+			onWillSync: () => {
+				options.faultPoints?.('beforeSync');
+			},
+		});
+		const { hardState, cutBytes, entries } = storage.stored;
+		options.log.info('replica.opened', {
+			diskId: hardState.diskId,
+			term: hardState.term,
+			entries: entries.length,
+			cutBytes,
+		});
+		const log = new ReplicatedLog(options, storage);
+		await log._whenRestoredAlone();
+		return log;
 	}
 
 	get status(): ReplicaStatus {
-		const { processId, address } = this._options;
-		const { diskId, term } = this._storage.stored.hardState;
-		return {
-			role: this._isStopped ? 'stopped' : 'leader',
-			term,
-			leaderId: processId,
-			commitIndex: this._appliedIndex,
-			appliedIndex: this._appliedIndex,
-			members: [{ processId, address, isVoter: true, diskId }],
-		};
+		return this._status;
+	}
+
+	/** Why the group takes no commands as far as this keeper can tell; `undefined` while it has a leader. */
+	get refusalReason(): string | undefined {
+		if (this._stopReason !== undefined) {
+			return this._stopReason;
+		}
+		return this._state.leaderId === undefined
+			? describeNoLeader(this._state, this._options.clock.nowMs())
+			: undefined;
 	}
 
-	propose(command: Uint8Array): Promise<Result<Uint8Array, ProposeError>> {
-		const entry: CommandEntry = { kind: 'command', index: this._nextIndex, term: 1, command };
-		this._nextIndex += 1;
-		const result = new Deferred<Result<Uint8Array, ProposeError>>();
-		this._queue.push({ entry, result });
-		this._writing ??= this._writeQueue();
-		return result.promise;
+	propose(command: Uint8Array, timeoutMs: number): Promise<Result<Uint8Array, ProposeError>> {
+		return this._router.submit({ kind: 'command', command }, timeoutMs);
 	}
 
 	ageMs(): number {
-		return this._isStopped ? Infinity : 0;
+		return this._stopReason === undefined ? ageMs(this._state, this._options.clock.nowMs()) : Infinity;
 	}
 
-	/** Takes a connection from another keeper. */
+	/** Takes a connection that another keeper opened. */
 	acceptPeer(connection: IConnection): void {
-		connection.dispose();
+		this._links.accept(connection);
+	}
+
+	async changeMember(change: MemberChange, timeoutMs: number): Promise<Result<undefined, ProposeError>> {
+		const result = await this._router.submit({ kind: 'change', change }, timeoutMs);
+		return result.isOk() ? Ok(undefined) : result;
 	}
 
-	changeMember(): Promise<Result<undefined, ProposeError>> {
-		return Promise.resolve(Ok(undefined));
+	async transferLeadership(timeoutMs: number): Promise<void> {
+		const untilMs = this._options.clock.nowMs() + timeoutMs;
+		const hasOthers = () =>
+			this._state.log.members.some(
+				(member) => member.isVoter && member.processId !== this._options.processId,
+			);
+		while (this._state.role === 'leader' && hasOthers() && this._options.clock.nowMs() < untilMs) {
+			this._step({ kind: 'transfer' });
+			await new Promise((resolve) => setTimeout(resolve, maxTickMs));
+		}
 	}
 
-	async transferLeadership(): Promise<void> {
-		await this._writing;
+	/** Stops taking part, waits for the disk, closes the files and gives up the lock. */
+	close(): Promise<void> {
+		this._closing ??= this._close();
+		return this._closing;
 	}
 
 	override dispose(): void {
-		this._isStopped = true;
-		void (this._writing ?? Promise.resolve()).then(() => this._storage.close());
+		void this.close();
+	}
+
+	private async _close(): Promise<void> {
+		this._stop('This keeper is stopping.');
 		super.dispose();
+		await this._writer.whenIdle();
+		await this._snapshots.whenIdle();
+		await this._storage.close();
 	}
 
-	private async _writeQueue(): Promise<void> {
-		await Promise.resolve();
-		while (this._queue.length > 0) {
-			const proposals = this._queue;
-			this._queue = [];
-			try {
-				await this._storage.write([{ sequence: 0, entries: proposals.map(({ entry }) => entry) }]);
-			} catch (error) {
-				this._stop(describeError(error));
-				return;
+	private _restoreFromDisk(): void {
+		const { snapshot } = this._storage.stored;
+		if (snapshot !== undefined) {
+			this._options.stateMachine.restoreSnapshot(snapshot.data);
+		}
+	}
+
+	/** A keeper that needs nobody else has its state machine whole before it is used. */
+	private async _whenRestoredAlone(): Promise<void> {
+		const { members } = this._state.log;
+		const voters = members.length > 0 ? members : this._options.initialMembers;
+		if (voters.length !== 1 || voters[0]?.processId !== this._options.processId) {
+			return;
+		}
+		this._step({ kind: 'tick' });
+		const { firstIndex } = this._state.leadership ?? { firstIndex: 0 };
+		while (this._state.commitIndex < firstIndex && this._stopReason === undefined) {
+			await this._writer.whenIdle();
+			await new Promise((resolve) => setImmediate(resolve));
+		}
+	}
+
+	private _wire(): void {
+		const { heartbeatIntervalMs } = this._options;
+		this._writer.onDidWrite((sequence) => {
+			this._step({ kind: 'written', sequence });
+		});
+		this._writer.onDidFail((reason) => {
+			this._fail(reason);
+		});
+		this._snapshots.onDidStore((snapshot) => {
+			this._options.log.info('replica.snapshotStored', { index: snapshot.index });
+			this._step({ kind: 'snapshotStored', snapshot });
+		});
+		this._snapshots.onDidFail((reason) => {
+			this._fail(reason);
+		});
+		this._links.onDidReceive(({ from, message }) => {
+			this._receive(from, message);
+		});
+		this._links.onDidConnect((to) => {
+			this._step({ kind: 'connected', to });
+		});
+		this._links.onDidDisconnect((processId) => {
+			this._router.settleLostConnection(processId);
+		});
+		this._connectToMembers();
+		const timer = setInterval(
+			() => {
+				this._step({ kind: 'tick' });
+				this._router.tick();
+			},
+			Math.min(maxTickMs, heartbeatIntervalMs / 3),
+		);
+		this._register(
+			toDisposable(() => {
+				clearInterval(timer);
+			}),
+		);
+	}
+
+	private _receive(from: string, message: Message): void {
+		if (message.kind === 'forward') {
+			this._router.handleForward(from, message as ForwardMessage);
+			return;
+		}
+		if (message.kind === 'forwardAnswer') {
+			this._router.handleForwardAnswer(message as ForwardAnswerMessage);
+			return;
+		}
+		this._step({ kind: 'receive', from, message: message as ReplicaMessage });
+	}
+
+	private _step(input: ReplicaInput): readonly ReplicaOutput[] {
+		if (this._stopReason !== undefined) {
+			return [];
+		}
+		try {
+			const outputs = step(this._state, input, this._options.clock.nowMs());
+			for (const output of outputs) {
+				this._perform(output);
 			}
-			this._apply(proposals);
+			this._publishStatus();
+			return outputs;
+		} catch (error) {
+			// A rule of the log is broken, or the state machine failed; going on could spread it.
+			this._fail(describeError(error));
+			return [];
 		}
-		this._writing = undefined;
 	}
 
-	private _apply(proposals: readonly Proposal[]): void {
-		for (const { entry, result } of proposals) {
-			const answer = this._options.stateMachine.apply(entry.index, entry.command);
-			this._appliedIndex = entry.index;
-			result.resolve(Ok(answer));
+	private _perform(output: ReplicaOutput): void {
+		switch (output.kind) {
+			case 'send':
+				this._links.send(output.to, output.message);
+				return;
+			case 'write':
+				this._writer.enqueue(output.write);
+				return;
+			case 'apply':
+				this._apply(output.entries);
+				return;
+			case 'restore':
+				this._restore(output.snapshot);
+				return;
+			case 'appended':
+			case 'refused':
+				return;
 		}
-		this._onDidApply.fire(this._appliedIndex);
 	}
 
-	private _stop(reason: string): void {
-		this._isStopped = true;
+	private _apply(entries: readonly LogEntry[]): void {
+		for (const entry of entries) {
+			this._router.settleApplied(entry, this._applyOne(entry));
+		}
+		this._faultPoints('afterReply');
+		this._snapshots.noteApplied(entries);
+		this._snapshots.takeWhenDue(this._state);
+		this._onDidApply.fire(this._state.commitIndex);
+	}
+
+	private _applyOne(entry: LogEntry): Uint8Array {
+		if (entry.kind !== 'command') {
+			return nothing;
+		}
+		this._faultPoints('beforeApply');
+		const answer = this._options.stateMachine.apply(entry.index, entry.command);
+		this._faultPoints('beforeReply');
+		return answer;
+	}
+
+	private _restore(snapshot: Snapshot): void {
+		this._options.log.info('replica.snapshotRestored', { index: snapshot.index });
+		this._options.stateMachine.restoreSnapshot(snapshot.data);
+		this._router.settleReplaced(snapshot.index);
+		this._onDidApply.fire(snapshot.index);
+	}
+
+	private _publishStatus(): void {
+		const before = this._status;
+		this._status = statusOf(this._state);
+		const { role, term, leaderId, members } = this._status;
+		const isSame =
+			before.role === role &&
+			before.term === term &&
+			before.leaderId === leaderId &&
+			before.members === members;
+		if (isSame) {
+			return;
+		}
+		this._options.log.info('replica.statusChanged', { role, term, leaderId });
+		if (before.members !== members) {
+			this._connectToMembers();
+		}
+		this._router.scheduleFlush();
+		this._onDidChangeStatus.fire(this._status);
+	}
+
+	/** The listed keepers too: a keeper with a new disk finds its group by them. */
+	private _connectToMembers(): void {
+		this._links.setPeers([...this._options.initialMembers, ...this._state.log.members]);
+	}
+
+	private _fail(reason: string): void {
+		if (this._stopReason !== undefined) {
+			return;
+		}
 		this._options.log.error('replica.stopped', { reason });
-		this._onDidChangeStatus.fire(this.status);
+		this._stop(reason);
 	}
+
+	/** Takes no further part; what a failed sync left on the disk is unknown. */
+	private _stop(reason: string): void {
+		if (this._stopReason !== undefined) {
+			return;
+		}
+		this._stopReason = reason;
+		this._router.stop(reason);
+		this._links.dispose();
+		this._status = { ...this._status, role: 'stopped', leaderId: undefined };
+		this._onDidChangeStatus.fire(this._status);
+	}
+}
+
+function createState(options: ReplicatedLogOptions, storage: ReplicaStorage): ReplicaState {
+	const { hardState, snapshot, entries } = storage.stored;
+	return createReplicaState({
+		config: {
+			processId: options.processId,
+			address: options.address,
+			initialMembers: options.initialMembers,
+			electionTimeoutMs: options.electionTimeoutMs,
+			heartbeatIntervalMs: options.heartbeatIntervalMs,
+			maxAppendBytes,
+			chunkBytes: snapshotChunkBytes,
+			trailingEntries,
+			random: options.random,
+			createGroupId: randomUUID,
+		},
+		hard: hardState,
+		snapshot,
+		entries,
+		nowMs: options.clock.nowMs(),
+	});
 }
--- a/src/replication/test/replicaCore.test.ts
+++ b/src/replication/test/replicaCore.test.ts
@@ -122,9 +122,9 @@
 }
 
 /** Runs of the property; REPLICA_RUNS raises them, REPLICA_SEED and REPLICA_PATH repeat one. */
-const runs = Number(process.env['REPLICA_RUNS'] ?? 150);
-const seed = Number(process.env['REPLICA_SEED'] ?? 20_261_204);
-const replayPath = process.env['REPLICA_PATH'];
+const runs = Number(process.env.REPLICA_RUNS ?? 150);
+const seed = Number(process.env.REPLICA_SEED ?? 20_261_204);
+const replayPath = process.env.REPLICA_PATH;
 
 for (const size of [3, 5]) {
 	test(`${size} keepers keep the log's rules through faults and come together again`, (t) => {
