--- /dev/null
+++ b/src/bench/node/entryCounters.ts
@@ -0,0 +1,57 @@
+/** Reads the counters of the entries under test and adds them up. */
+
+import { request } from 'undici';
+import { z } from 'zod';
+import type { LocalEntry } from '../../proof/node/localDaemon.js';
+import type { MessageCounts } from '../common/benchSummary.js';
+
+const framesSchema = z.object({ frames: z.number(), items: z.number() });
+
+/** The part of `GET /v1/stats` that the bench needs. */
+const statsSchema = z.object({
+	startFrames: z.number(),
+	outcomeFrames: z.number(),
+	startsSent: z.number(),
+	outcomesReceived: z.number(),
+	relayedJobs: z.number(),
+	relayedAnswers: z.number(),
+	wastedMessages: z.record(z.string(), framesSchema),
+});
+
+/** Counters of one entry. */
+export type EntryCounters = z.output<typeof statsSchema>;
+
+/** Reads the counters of one entry. */
+export async function readEntryCounters(entry: LocalEntry): Promise<EntryCounters> {
+	const response = await request(`${entry.url}/v1/stats`);
+	return statsSchema.parse(await response.body.json());
+}
+
+/**
+ * Adds up the messages of all entries. A start and an answer count once for each task, however many share a frame;
+ * everything else counts by frames, since tasks that share a frame cost one message.
+ *
+ * @example
+ * const before = await readMessageCounts(system.entries);
+ */
+export async function readMessageCounts(entries: readonly LocalEntry[]): Promise<MessageCounts> {
+	const counters = await Promise.all(entries.map((entry) => readEntryCounters(entry)));
+	const sum = (valueOf: (entry: EntryCounters) => number): number =>
+		counters.reduce((total, entry) => total + valueOf(entry), 0);
+	return {
+		startsAndAnswers: sum((entry) => entry.startsSent + entry.outcomesReceived),
+		relays: sum((entry) => entry.relayedJobs + entry.relayedAnswers),
+		wasted: sum((entry) =>
+			Object.values(entry.wastedMessages).reduce((total, { frames }) => total + frames, 0),
+		),
+	};
+}
+
+/** What was counted between two readings. */
+export function subtractCounts(after: MessageCounts, before: MessageCounts): MessageCounts {
+	return {
+		startsAndAnswers: after.startsAndAnswers - before.startsAndAnswers,
+		relays: after.relays - before.relays,
+		wasted: after.wasted - before.wasted,
+	};
+}
