--- a/src/bench/node/benchRun.ts
+++ b/src/bench/node/benchRun.ts
@@ -1,21 +1,19 @@
 /** One run of the bench: real processes, injected delays, open-loop arrivals, and an audit at the end. */
 
-import { readFileSync, writeFileSync } from 'node:fs';
-import path from 'node:path';
+import { readFileSync } from 'node:fs';
 import { Worker } from 'node:worker_threads';
-import { stringify } from 'smol-toml';
 import { Deferred } from '../../base/common/async.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { audit } from '../../proof/common/auditor.js';
 import { parseJournal } from '../../standins/common/journal.js';
-import { LocalProcess } from '../../proof/node/localProcess.js';
-import { LocalSystem, localOperatorToken, type AgentPlan } from '../../proof/node/localSystem.js';
+import { LocalSystem, type AgentPlan } from '../../proof/node/localSystem.js';
 import type { BenchReport } from '../common/benchReport.js';
 import { summarizeRun, type MessageCounts } from '../common/benchSummary.js';
 import { deployments, type Deployment, type DeploymentName } from '../common/deployment.js';
 import { idealResponses } from '../common/idealSchedule.js';
 import { planScenario, type ScenarioPlan } from '../common/scenarioPlan.js';
 import { drawArrivals, type ArrivingJob, type ScenarioName } from '../common/workload.js';
+import { applyBenchTables, benchDeadlineMs, benchPool, benchRoute } from './benchTables.js';
 import { readMessageCounts, subtractCounts } from './entryCounters.js';
 import { toEndedJob, tokenOf, toReaderRecord } from './readerRecords.js';
 import type { JobRecord, SenderMessage, SenderOptions } from './senderProtocol.js';
@@ -30,9 +28,6 @@
 	readonly deployment: DeploymentName;
 }
 
-const pool = 'bench';
-const route = 'bench-route';
-const jobDeadlineMs = 120_000;
 /** Connections to each entry that readers hold from the start, so that a response has no connection set-up in it. */
 const warmConnections = 48;
 const senderThreadFile = new URL('./senderThread.js', import.meta.url);
@@ -68,7 +63,7 @@
 
 	async execute(): Promise<BenchReport> {
 		const system = this._register(await this._startSystem());
-		await applyTables(system);
+		await applyBenchTables(system);
 		await system.waitUntilServing();
 		const before = await readMessageCounts(system.entries);
 		const records = await this._sendJobs(system);
@@ -103,15 +98,15 @@
 			String(memoryBytesPerWorker),
 			...(this._plan.upstreamArgs.get(index) ?? []),
 		];
-		return { pool, slots: slotsPerWorker, upstreamArgs };
+		return { pool: benchPool, slots: slotsPerWorker, upstreamArgs };
 	}
 
 	private async _sendJobs(system: LocalSystem): Promise<readonly JobRecord[]> {
 		const workerData: SenderOptions = {
 			entryUrls: system.entries.map((entry) => entry.url),
-			route,
+			route: benchRoute,
 			jobs: this._jobs,
-			deadlineMs: jobDeadlineMs,
+			deadlineMs: benchDeadlineMs,
 			warmConnections,
 		};
 		const thread = new Worker(senderThreadFile, { workerData });
@@ -171,39 +166,6 @@
 	}
 }
 
-async function applyTables(system: LocalSystem): Promise<void> {
-	const file = path.join(system.folder, 'bench-tables.toml');
-	const tables = {
-		pools: { [pool]: { maxQueuedTasks: 100_000 } },
-		routes: {
-			[route]: {
-				pool,
-				maxTasksPerJob: 200,
-				maxConcurrentTasks: 100_000,
-				defaultDeadlineMs: jobDeadlineMs,
-				maxDeadlineMs: jobDeadlineMs,
-				repeatable: true,
-				objectives: { answeredWithinMs: 2000, answeredWithinShare: 0.99, answeredWholeShare: 0.999 },
-			},
-		},
-		teams: Object.fromEntries(['north', 'south', 'east', 'west', 'flood'].map((team) => [team, {}])),
-	};
-	writeFileSync(file, stringify(tables));
-	const [keeper] = system.keepers;
-	if (keeper === undefined) {
-		throw new RangeError('The bench needs a keeper.');
-	}
-	const args = ['apply', file, '--operator', keeper.operatorAddress, '--token', localOperatorToken, '--wait'];
-	const apply = LocalProcess.start({ name: 'apply', args });
-	const exit = await apply.waitForExit();
-	if (exit.code !== changedExitCode) {
-		throw new Error(`"yuccaarch apply" ended with ${JSON.stringify(exit)}: ${apply.errorText}`);
-	}
-}
-
-/** Exit code of `yuccaarch apply` after a change. */
-const changedExitCode = 10;
-
 function readStarts(file: string): { upstream: string; token: string; atMs: number }[] {
 	return parseJournal(readFileSync(file, 'utf8'))
 		.filter((line) => line.event === 'start')
--- /dev/null
+++ b/src/bench/node/closedLoopThread.ts
@@ -0,0 +1,66 @@
+/** Thread that keeps a number of equal jobs open at one entry until it is told to stop. */
+
+import { parentPort, workerData } from 'node:worker_threads';
+import { Pool } from 'undici';
+
+/** What the thread is started with. */
+export interface ClosedLoopOptions {
+	readonly entryUrl: string;
+	readonly route: string;
+	readonly tasksPerJob: number;
+	/** Jobs that are open at the same time. */
+	readonly openJobs: number;
+	/** Jobs to send; endless when absent. */
+	readonly maxJobs?: number;
+	readonly runMs: number;
+}
+
+/** What the thread reports at its end. */
+export interface ClosedLoopReport {
+	readonly jobs: number;
+	readonly notWhole: number;
+	readonly responsesMs: readonly number[];
+}
+
+const options = workerData as ClosedLoopOptions;
+const pool = new Pool(options.entryUrl, { connections: options.openJobs, pipelining: 1 });
+const body = JSON.stringify({
+	tasks: Array.from({ length: options.tasksPerJob }, (_, task) => ({ runMs: options.runMs, task })),
+	deadlineMs: 30_000,
+	team: 'north',
+});
+const responsesMs: number[] = [];
+let sentJobs = 0;
+let notWhole = 0;
+let isStopped = false;
+
+async function sendOne(): Promise<void> {
+	sentJobs += 1;
+	const sentAtMs = performance.now();
+	const response = await pool.request({
+		method: 'POST',
+		path: `/v1/routes/${options.route}/jobs`,
+		headers: { 'content-type': 'application/json' },
+		body,
+	});
+	await response.body.dump();
+	responsesMs.push(performance.now() - sentAtMs);
+	if (response.statusCode !== 200) {
+		notWhole += 1;
+	}
+}
+
+async function keepSending(): Promise<void> {
+	while (!isStopped && sentJobs < (options.maxJobs ?? Infinity)) {
+		await sendOne();
+	}
+}
+
+parentPort?.on('message', () => {
+	isStopped = true;
+});
+await Promise.all(Array.from({ length: options.openJobs }, () => keepSending()));
+const report: ClosedLoopReport = { jobs: responsesMs.length, notWhole, responsesMs };
+parentPort?.postMessage(report);
+parentPort?.close();
+await pool.destroy();
--- a/src/proof/node/localSystem.ts
+++ b/src/proof/node/localSystem.ts
@@ -58,7 +58,8 @@
 	readonly agentSettings?: object;
 }
 
-const sharedSecret = 'a-shared-secret-for-loopback';
+/** Secret that the processes of every local system prove to each other. */
+export const localSharedSecret = 'a-shared-secret-for-loopback';
 
 /** Token of the operators in every local system. */
 export const localOperatorToken = 'an-operator-token-for-loopback';
@@ -328,7 +329,7 @@
 
 	private _processSettings(processId: string, index: number): ProcessSettings {
 		const dataCentre = `dc-${(index % (this._options.dataCentres ?? 1)) + 1}`;
-		return { processId, dataCentre, sharedSecret };
+		return { processId, dataCentre, sharedSecret: localSharedSecret };
 	}
 
 	private async _reserveAddress(): Promise<string> {
