--- a/src/bench/node/benchRun.ts
+++ b/src/bench/node/benchRun.ts
@@ -1,11 +1,11 @@
 /** One run of the bench: real processes, injected delays, open-loop arrivals, and an audit at the end. */
 
-import { readFileSync } from 'node:fs';
 import { Worker } from 'node:worker_threads';
 import { Deferred } from '../../base/common/async.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { audit } from '../../proof/common/auditor.js';
-import { parseJournal } from '../../standins/common/journal.js';
+import type { StartRecord } from '../../proof/common/auditRecords.js';
+import { startsOfJournals } from '../../proof/common/journalStarts.js';
 import { LocalSystem, type AgentPlan } from '../../proof/node/localSystem.js';
 import type { BenchReport } from '../common/benchReport.js';
 import { summarizeRun, type MessageCounts } from '../common/benchSummary.js';
@@ -15,7 +15,7 @@
 import { drawArrivals, type ArrivingJob, type ScenarioName } from '../common/workload.js';
 import { applyBenchTables, benchDeadlineMs, benchPool, benchRoute } from './benchTables.js';
 import { readMessageCounts, subtractCounts } from './entryCounters.js';
-import { toEndedJob, tokenOf, toReaderRecord } from './readerRecords.js';
+import { toEndedJob, toReaderRecord } from './readerRecords.js';
 import type { JobRecord, SenderMessage, SenderOptions } from './senderProtocol.js';
 
 /** What a run is made of. */
@@ -68,7 +68,7 @@
 		const before = await readMessageCounts(system.entries);
 		const records = await this._sendJobs(system);
 		const after = await readMessageCounts(system.entries);
-		const starts = system.journalFiles.flatMap((file) => readStarts(file));
+		const starts = startsOfJournals(system.readJournals());
 		await system.drain();
 		return this._report(records, starts, subtractCounts(after, before));
 	}
@@ -147,7 +147,7 @@
 
 	private _report(
 		records: readonly JobRecord[],
-		starts: readonly { upstream: string; token: string; atMs: number }[],
+		starts: readonly StartRecord[],
 		messages: MessageCounts,
 	): BenchReport {
 		const idealMs = idealResponses(this._jobs, this._plan.ideal);
@@ -165,13 +165,3 @@
 		});
 	}
 }
-
-function readStarts(file: string): { upstream: string; token: string; atMs: number }[] {
-	return parseJournal(readFileSync(file, 'utf8'))
-		.filter((line) => line.event === 'start')
-		.map((line) => ({
-			upstream: line.upstreamId,
-			token: tokenOf(line.submissionId, line.taskIndex),
-			atMs: line.timeMs,
-		}));
-}
--- a/src/bench/node/readerRecords.ts
+++ b/src/bench/node/readerRecords.ts
@@ -4,28 +4,22 @@
 import type { ReaderOutcome, ReaderRecord } from '../../proof/common/auditRecords.js';
 import type { EndedJob } from '../common/benchSummary.js';
 import type { ArrivingJob } from '../common/workload.js';
-import type { JobRecord } from './senderProtocol.js';
+import { tokenOf, type JobRecord } from './senderProtocol.js';
 
-const resultSchema = z.object({ submissionId: z.string(), taskIndex: z.number() });
+const resultSchema = z.object({ echo: z.object({ token: z.string() }) });
 
 const answerSchema = z.discriminatedUnion('status', [
-	z.object({ status: z.literal('complete'), jobId: z.string(), results: z.array(z.unknown()) }),
+	z.object({ status: z.literal('complete'), results: z.array(z.unknown()) }),
 	z.object({
 		status: z.literal('failed'),
-		jobId: z.string(),
 		outcome: z.enum(['ranAndFailed', 'mayHaveRun']),
 		reason: z.string(),
 	}),
-	z.object({ status: z.literal('notRun'), jobId: z.string(), reason: z.string() }),
+	z.object({ status: z.literal('notRun'), reason: z.string() }),
 ]);
 
 type Answer = z.output<typeof answerSchema>;
 
-/** A task's token in the bench: the identity that its upstream saw. */
-export function tokenOf(submissionId: string, taskIndex: number): string {
-	return `${submissionId}/${taskIndex}`;
-}
-
 /** How a job ended, for the summary. */
 export function toEndedJob(record: JobRecord): EndedJob {
 	const { jobIndex, responseMs, sentLateMs } = record;
@@ -54,9 +48,7 @@
 	const sentAtMs = startedAtMs + job.arriveMs;
 	return {
 		entry: 'any',
-		tokens: job.runMs.map((_, taskIndex) =>
-			tokenOf(answer?.jobId ?? `unknown-${record.jobIndex}`, taskIndex),
-		),
+		tokens: job.runMs.map((_, taskIndex) => tokenOf(record.jobIndex, taskIndex)),
 		sentAtMs,
 		endedAtMs: sentAtMs + record.responseMs,
 		outcome: toOutcome(answer, record),
@@ -77,7 +69,7 @@
 
 function echoedToken(result: unknown): string | undefined {
 	const parsed = resultSchema.safeParse(result);
-	return parsed.success ? tokenOf(parsed.data.submissionId, parsed.data.taskIndex) : undefined;
+	return parsed.success ? parsed.data.echo.token : undefined;
 }
 
 function parseAnswer(record: JobRecord): Answer | undefined {
--- a/src/bench/node/senderProtocol.ts
+++ b/src/bench/node/senderProtocol.ts
@@ -35,3 +35,8 @@
 			readonly startedAtMs: number;
 	  }
 	| { readonly kind: 'finished'; readonly records: readonly JobRecord[] };
+
+/** Token of a task, unlike that of any other; the stand-in journals and echoes it. */
+export function tokenOf(jobIndex: number, taskIndex: number): string {
+	return `bench-${jobIndex}-${taskIndex}`;
+}
--- a/src/bench/node/senderThread.ts
+++ b/src/bench/node/senderThread.ts
@@ -5,7 +5,7 @@
 import { DisposableStore } from '../../base/common/disposable.js';
 import { PreciseTimer } from '../../proof/node/preciseTimer.js';
 import type { ArrivingJob } from '../common/workload.js';
-import type { JobRecord, SenderMessage, SenderOptions } from './senderProtocol.js';
+import { tokenOf, type JobRecord, type SenderMessage, type SenderOptions } from './senderProtocol.js';
 
 /** Time between the thread's start and the first arrival, in which connections are opened. */
 const leadMs = 300;
@@ -106,7 +106,7 @@
 
 function toBody(job: ArrivingJob, deadlineMs: number): object {
 	return {
-		tasks: job.runMs.map((runMs, task) => ({ runMs, job: job.jobIndex, task })),
+		tasks: job.runMs.map((runMs, task) => ({ runMs, token: tokenOf(job.jobIndex, task) })),
 		deadlineMs,
 		team: job.team,
 		needs: { cores: job.declaredCores },
--- a/src/bench/node/startRateBench.ts
+++ b/src/bench/node/startRateBench.ts
@@ -59,7 +59,7 @@
 function createFake(entry: LocalEntry, index: number): FakeAgent {
 	return new FakeAgent({
 		processId: `fake-${index + 1}`,
-		entryAddress: String(entry.ready['peerAddress']),
+		entryAddress: String(entry.ready.peerAddress),
 		sharedSecret: localSharedSecret,
 		dataCentre: 'dc-1',
 		offer: {
