--- a/src/code/node/commands/benchCommand.ts
+++ b/src/code/node/commands/benchCommand.ts
@@ -3,7 +3,7 @@
 import { defineCommand } from 'citty';
 import { z } from 'zod';
 import { scenarioNames } from '../../../bench/common/workload.js';
-import { runBench, type BenchOptions } from '../../../bench/node/benchRun.js';
+import { benchParts, runFullBench } from '../../../bench/node/fullBench.js';
 import { checkSettings } from '../../../platform/settings/node/loadSettings.js';
 import { policyNames } from '../../../entry/common/entrySettings.js';
 import { reportSettingsError } from '../../../platform/daemon/node/daemon.js';
@@ -15,6 +15,7 @@
 	seed: z.coerce.number().int().nonnegative(),
 	durationMs: z.coerce.number().positive().max(600_000),
 	deployment: z.enum(['registro', 'citacion']),
+	parts: z.array(z.enum(benchParts)).min(1),
 });
 
 /** The command's definition. */
@@ -35,17 +36,22 @@
 			default: 'registro',
 			description: 'registro or citacion: sizes and delays.',
 		},
+		parts: { type: 'string', default: benchParts.join(','), description: 'Parts to run: load, idle, rate.' },
 		json: { type: 'boolean', default: false, description: 'Prints one JSON object on one line.' },
 	},
 	run: async ({ args }) => {
-		let options: BenchOptions;
+		let options: z.output<typeof optionsSchema>;
 		try {
-			options = checkSettings('bench', { ...args, durationMs: Number(args.seconds) * 1000 }, optionsSchema);
+			options = checkSettings('bench', toOptions(args), optionsSchema);
 		} catch (error) {
 			reportSettingsError(error);
 			return;
 		}
-		const report = await runBench(options);
+		const report = await runFullBench(options, options.parts);
 		process.stdout.write(`${JSON.stringify(report, undefined, args.json ? undefined : 2)}\n`);
 	},
 });
+
+function toOptions(args: { readonly seconds: string; readonly parts: string }): object {
+	return { ...args, durationMs: Number(args.seconds) * 1000, parts: args.parts.split(',') };
+}
