--- /dev/null
+++ b/src/keeper/node/test/keeperHarness.ts
@@ -0,0 +1,231 @@
+/** Keepers and subscribers inside the test's process, on real sockets and over an in-memory log. */
+
+import { Ok, Err, type Result } from 'ts-results-es';
+import { DisposableStore } from '../../../base/common/disposable.js';
+import { Emitter } from '../../../base/common/event.js';
+import { ControlPlaneClient } from '../../../control/node/controlPlaneClient.js';
+import { nullLogService } from '../../../platform/log/common/log.js';
+import type { ProcessRole } from '../../../platform/transport/common/transport.js';
+import type { MemberStatus } from '../../../protocol/common/keeperMessages.js';
+import type { ChangeRequest, ChangeResult } from '../../../protocol/common/operatorApi.js';
+import { ProposeError, type ReplicaStatus } from '../../../replication/common/replicatedLog.js';
+import { decodeValue, encodeValue } from '../../common/keeperCommands.js';
+import { keeperSettingsSchema, type KeeperSettings } from '../../common/keeperSettings.js';
+import type { KeeperStateMachine } from '../../common/keeperStateMachine.js';
+import { KeeperDaemon, type IKeeperLog } from '../keeperDaemon.js';
+
+export const token = 'operator-token-0123';
+export const secret = 'shared-secret-01234';
+
+/** One log for several keepers: each command is applied on all of them at once, or later where a keeper is cut off. */
+export class FakeGroup {
+	private readonly _logs: FakeLog[] = [];
+	readonly commands: Uint8Array[] = [];
+	leaderId = 'keeper-1';
+
+	open(processId: string, machine: KeeperStateMachine, address: string): FakeLog {
+		const log = new FakeLog(this, processId, address, machine);
+		this._logs.push(log);
+		log.catchUp();
+		for (const other of this._logs) {
+			other.fireStatus();
+		}
+		return log;
+	}
+
+	get logs(): readonly FakeLog[] {
+		return this._logs;
+	}
+
+	remove(log: FakeLog): void {
+		this._logs.splice(this._logs.indexOf(log), 1);
+	}
+
+	setLeader(processId: string): void {
+		this.leaderId = processId;
+		for (const log of this._logs) {
+			log.fireStatus();
+		}
+	}
+}
+
+/** A log in memory. Cut off, it neither commits nor applies, and its state grows old. */
+export class FakeLog implements IKeeperLog {
+	private readonly _onDidChangeStatus = new Emitter<ReplicaStatus>();
+	readonly onDidChangeStatus = this._onDidChangeStatus.event;
+	private readonly _onDidApply = new Emitter<number>();
+	readonly onDidApply = this._onDidApply.event;
+	private _applied = 0;
+	private _cutOffAtMs: number | undefined;
+
+	constructor(
+		private readonly _group: FakeGroup,
+		readonly processId: string,
+		readonly address: string,
+		private readonly _machine: KeeperStateMachine,
+	) {}
+
+	get status(): ReplicaStatus {
+		return {
+			role: this._group.leaderId === this.processId ? 'leader' : 'follower',
+			term: 1,
+			leaderId: this._group.leaderId,
+			commitIndex: this._group.commands.length,
+			appliedIndex: this._applied,
+			members: this._group.logs.map(({ processId, address }) => ({
+				processId,
+				address,
+				isVoter: true,
+				diskId: processId,
+			})),
+		};
+	}
+
+	fireStatus(): void {
+		this._onDidChangeStatus.fire(this.status);
+	}
+
+	cutOff(): void {
+		this._cutOffAtMs = performance.now();
+	}
+
+	heal(): void {
+		this._cutOffAtMs = undefined;
+		this.catchUp();
+	}
+
+	catchUp(): Uint8Array {
+		let result = new Uint8Array();
+		if (this._cutOffAtMs !== undefined) {
+			return result;
+		}
+		for (; this._applied < this._group.commands.length; this._applied += 1) {
+			result = new Uint8Array(this._machine.apply(this._applied, this._group.commands[this._applied]!));
+		}
+		this._onDidApply.fire(this._applied);
+		return result;
+	}
+
+	async propose(command: Uint8Array): Promise<Result<Uint8Array, ProposeError>> {
+		await Promise.resolve();
+		if (this._cutOffAtMs !== undefined) {
+			return Err(new ProposeError('noLeader', 'The keeper is cut off.'));
+		}
+		this._group.commands.push(command);
+		const result = this.catchUp();
+		for (const log of this._group.logs) {
+			log.catchUp();
+		}
+		return Ok(result);
+	}
+
+	ageMs(): number {
+		return this._cutOffAtMs === undefined ? 0 : performance.now() - this._cutOffAtMs;
+	}
+
+	acceptPeer(): void {
+		// The group is in memory.
+	}
+
+	changeMember(): Promise<Result<undefined, ProposeError>> {
+		return Promise.resolve(Ok(undefined));
+	}
+
+	transferLeadership(): Promise<void> {
+		return Promise.resolve();
+	}
+
+	dispose(): void {
+		this._group.remove(this);
+	}
+}
+
+/** A keeper and its log. */
+export interface TestKeeper {
+	readonly daemon: KeeperDaemon;
+	readonly log: FakeLog;
+	readonly processId: string;
+}
+
+/** Settings of a keeper under test. */
+export function createSettings(processId: string, overrides: Partial<KeeperSettings> = {}): KeeperSettings {
+	return {
+		...keeperSettingsSchema.parse({
+			processId,
+			dataCentre: 'dc-1',
+			sharedSecret: secret,
+			peerAddress: '127.0.0.1:0',
+			operatorAddress: '127.0.0.1:0',
+			operatorToken: token,
+			dataFolder: '/unused',
+			members: [{ processId, address: '127.0.0.1:1' }],
+		}),
+		...overrides,
+	};
+}
+
+/** Owns everything that a test starts. */
+export class KeeperHarness extends DisposableStore {
+	readonly group = new FakeGroup();
+
+	async startKeeper(processId: string, overrides: Partial<KeeperSettings> = {}): Promise<TestKeeper> {
+		let log: FakeLog | undefined;
+		const daemon = await KeeperDaemon.start({
+			settings: createSettings(processId, overrides),
+			identity: { role: 'keeper', processId, incarnation: `${processId}-${performance.now()}` },
+			events: nullLogService,
+			openLog: (machine, address) => {
+				log = this.group.open(processId, machine, address);
+				return Promise.resolve(log);
+			},
+		});
+		this.add(daemon);
+		return { daemon, log: log!, processId };
+	}
+
+	startClient(
+		processId: string,
+		role: ProcessRole,
+		keepers: readonly TestKeeper[],
+		status: Partial<MemberStatus> = {},
+		incarnation = '1',
+	): ControlPlaneClient {
+		const client = this.add(
+			new ControlPlaneClient({
+				keepers: keepers.map((keeper) => ({
+					processId: keeper.processId,
+					address: keeper.daemon.peerAddress,
+				})),
+				identity: { role, processId, incarnation },
+				secret,
+				log: nullLogService,
+			}),
+		);
+		client.setStatus(memberStatus(status));
+		return client;
+	}
+
+	async change(keeper: TestKeeper, request: ChangeRequest): Promise<ChangeResult> {
+		const command = { kind: 'changeTables', request, acceptedAt: '2026-01-01T00:00:00Z' };
+		const result = await keeper.log.propose(encodeValue(command));
+		return decodeValue(result.unwrap()) as ChangeResult;
+	}
+}
+
+export function memberStatus(status: Partial<MemberStatus> = {}): MemberStatus {
+	return { dataCentre: 'dc-1', rack: 'rack-1', isDraining: false, revisionInForce: 0, ...status };
+}
+
+/** A change that drains one process: the shortest change there is. */
+export function drainChange(
+	expectedRevision: number,
+	name: string,
+	requestId = `request-${name}`,
+): ChangeRequest {
+	return {
+		requestId,
+		expectedRevision,
+		author: 'ana',
+		edits: [{ action: 'put', table: 'drains', row: { name } }],
+	};
+}
