--- a/build/lint/layers.js
+++ b/build/lint/layers.js
@@ -23,7 +23,7 @@
 	operator: ['platform', 'declarations', 'protocol', 'control', 'burn'],
 	standins: ['platform', 'declarations', 'protocol'],
 	proof: ['platform', 'declarations', 'protocol', 'control', 'standins'],
-	bench: ['platform', 'declarations', 'protocol', 'control', 'standins', 'proof', 'entry'],
+	bench: ['platform', 'declarations', 'protocol', 'control', 'standins', 'proof', 'entry', 'operator'],
 	code: [
 		'platform',
 		'declarations',
--- a/src/bench/node/closedLoopThread.ts
+++ b/src/bench/node/closedLoopThread.ts
@@ -15,8 +15,18 @@
 	readonly runMs: number;
 }
 
+/** What the bench asks of the thread: how many jobs were answered so far, or to stop. */
+export type ClosedLoopRequest = 'count' | 'stop';
+
+/** Answer to `count`. */
+export interface ClosedLoopCount {
+	readonly kind: 'count';
+	readonly jobs: number;
+}
+
 /** What the thread reports at its end. */
 export interface ClosedLoopReport {
+	readonly kind: 'finished';
 	readonly jobs: number;
 	readonly notWhole: number;
 	readonly responsesMs: readonly number[];
@@ -56,11 +66,16 @@
 	}
 }
 
-parentPort?.on('message', () => {
-	isStopped = true;
+parentPort?.on('message', (request: ClosedLoopRequest) => {
+	if (request === 'stop') {
+		isStopped = true;
+		return;
+	}
+	const count: ClosedLoopCount = { kind: 'count', jobs: responsesMs.length };
+	parentPort?.postMessage(count);
 });
 await Promise.all(Array.from({ length: options.openJobs }, () => keepSending()));
-const report: ClosedLoopReport = { jobs: responsesMs.length, notWhole, responsesMs };
+const report: ClosedLoopReport = { kind: 'finished', jobs: responsesMs.length, notWhole, responsesMs };
 parentPort?.postMessage(report);
 parentPort?.close();
 await pool.destroy();
--- a/src/bench/node/startRateBench.ts
+++ b/src/bench/node/startRateBench.ts
@@ -2,11 +2,12 @@
 
 import { delay, waitFor } from '../../base/common/async.js';
 import { DisposableStore } from '../../base/common/disposable.js';
-import { LocalSystem, localSharedSecret } from '../../proof/node/localSystem.js';
+import { LocalSystem } from '../../proof/node/localSystem.js';
 import type { LocalEntry } from '../../proof/node/localDaemon.js';
-import { applyBenchTables, benchPool, benchRoute } from './benchTables.js';
+import { applyBenchTables, benchRoute } from './benchTables.js';
 import { ClosedLoop } from './closedLoop.js';
 import { FakeAgent } from './fakeAgent.js';
+import { createFakeOptions } from './fakeAgents.js';
 import { readProcessUsage } from './processUsage.js';
 
 /** What was measured. */
@@ -22,7 +23,6 @@
 const tasksPerJob = 40;
 const openJobs = 48;
 const fakeAgents = 11;
-const slotsPerFakeAgent = 512;
 const warmUpMs = 3000;
 const measureMs = 6000;
 
@@ -42,7 +42,9 @@
 		if (entry === undefined) {
 			throw new RangeError('The bench needs an entry.');
 		}
-		const agents = Array.from({ length: fakeAgents }, (_, index) => store.add(createFake(entry, index)));
+		const agents = Array.from({ length: fakeAgents }, (_, index) =>
+			store.add(new FakeAgent(createFakeOptions(entry, index))),
+		);
 		await waitFor('every fake agent is connected', 5000, () => agents.every((agent) => agent.isConnected));
 		const load = store.add(
 			new ClosedLoop({ entryUrl: entry.url, route: benchRoute, tasksPerJob, openJobs, runMs: 0 }),
@@ -56,24 +58,6 @@
 	}
 }
 
-function createFake(entry: LocalEntry, index: number): FakeAgent {
-	return new FakeAgent({
-		processId: `fake-${index + 1}`,
-		entryAddress: String(entry.ready.peerAddress),
-		sharedSecret: localSharedSecret,
-		dataCentre: 'dc-1',
-		offer: {
-			pool: benchPool,
-			slots: slotsPerFakeAgent,
-			connections: slotsPerFakeAgent,
-			cores: 1024,
-			memoryBytes: 1024 ** 4,
-			accelerators: 0,
-		},
-		revision: 1,
-	});
-}
-
 async function measure(
 	entry: LocalEntry,
 	countStarts: () => number,
--- a/src/code/node/commands/slopesCommand.ts
+++ b/src/code/node/commands/slopesCommand.ts
@@ -1,12 +1,30 @@
-/** `yuccaarch slopes`: Measures cost per task, change, member and subscriber. */
+/** `yuccaarch slopes`: measures what one more task, change, member and subscriber costs each role. */
 
 import { defineCommand } from 'citty';
+import { measureAgentSlopes } from '../../../bench/node/agentSlopes.js';
+import { measureEntrySlopes } from '../../../bench/node/entrySlopes.js';
+import { measureKeeperSlopes } from '../../../bench/node/keeperSlopes.js';
 
 /** The command's definition. */
 export const slopesCommand = defineCommand({
-	meta: { name: 'slopes', description: 'Measures cost per task, change, member and subscriber.' },
-	run: () => {
-		process.stderr.write('The command "slopes" is not built yet.\n');
-		process.exitCode = 1;
+	meta: {
+		name: 'slopes',
+		description: 'Measures what one more task, change, member and subscriber costs each role.',
+	},
+	args: {
+		role: {
+			type: 'string',
+			default: 'keeper,entry,agent',
+			description: 'Roles to measure, separated by commas.',
+		},
+	},
+	run: async ({ args }) => {
+		const roles = args.role.split(',');
+		const slopes = {
+			...(roles.includes('keeper') ? { keeper: await measureKeeperSlopes() } : {}),
+			...(roles.includes('entry') ? { entry: await measureEntrySlopes() } : {}),
+			...(roles.includes('agent') ? { agent: await measureAgentSlopes() } : {}),
+		};
+		process.stdout.write(`${JSON.stringify(slopes, undefined, 2)}\n`);
 	},
 });
