Read the parent's end from process.stdin, and add the demo

A second socket on descriptor 0 made node:process fail with EEXIST in a child that imports it, seen red with the first keeper that the harness started.

--- a/src/code/node/commands/demoCommand.ts
+++ b/src/code/node/commands/demoCommand.ts
@@ -1,12 +1,20 @@
 /** `yuccaarch demo`: Runs the whole system on loopback and shows what readers get. */
 
 import { defineCommand } from 'citty';
+import { exitCodes } from '../../../platform/daemon/node/daemon.js';
+import { runDemo } from '../../../proof/node/demo.js';
 
 /** The command's definition. */
 export const demoCommand = defineCommand({
 	meta: { name: 'demo', description: 'Runs the whole system on loopback and shows what readers get.' },
-	run: () => {
-		process.stderr.write('The command "demo" is not built yet.\n');
-		process.exitCode = 1;
+	run: async () => {
+		const report = await runDemo((line) => {
+			process.stdout.write(`${line}\n`);
+		});
+		for (const surprise of report.surprises) {
+			process.stderr.write(`${surprise}\n`);
+		}
+		const isFlawless = report.surprises.length === 0 && report.audit.breaches.length === 0;
+		process.exitCode = isFlawless ? exitCodes.ok : exitCodes.failed;
 	},
 });
--- /dev/null
+++ b/src/proof/node/demo.ts
@@ -0,0 +1,132 @@
+/** Runs the whole system on loopback with real processes and tells a person what its readers get. */
+
+import { match } from 'ts-pattern';
+import { audit } from '../common/auditor.js';
+import type { AuditReport } from '../common/auditRecords.js';
+import { demoChapters, type DemoStep } from '../common/demoScript.js';
+import { startsOfJournals } from '../common/journalStarts.js';
+import { exampleFiles } from './exampleFiles.js';
+import { LocalSystem } from './localSystem.js';
+import { ReaderClient, type ReaderAnswer } from './readerClient.js';
+
+/** Longest time for agents and entries to find each other after they are ready. */
+const settlingTimeoutMs = 15_000;
+
+/** What a demo found. */
+export interface DemoReport {
+	/** Titles of the steps that did not end as they must. */
+	readonly surprises: readonly string[];
+	readonly audit: AuditReport;
+}
+
+/**
+ * Runs the demo and drains the system again.
+ *
+ * @param say takes one line for a person
+ * @throws LocalProcessError when a process fails to start or to drain
+ * @example
+ * const report = await runDemo((line) => process.stdout.write(`${line}\n`));
+ */
+export async function runDemo(say: (line: string) => void): Promise<DemoReport> {
+	say('Starting one keeper, two entries, three agents and an upstream beside each agent.');
+	const system = await LocalSystem.start({
+		keepers: 1,
+		entries: 2,
+		agents: [{ pool: 'ledger' }, { pool: 'response' }, { pool: 'response' }],
+	});
+	const readers = new ReaderClient();
+	try {
+		say(await system.apply(Object.values(exampleFiles)));
+		await system.waitUntilServing();
+		await awaitWorkers(system);
+		const surprises = await runChapters(system, readers, say);
+		const starts = startsOfJournals(system.readJournals());
+		const report = audit({ starts, readers: readers.records });
+		say('');
+		say(`The upstreams saw ${report.starts} starts; ${report.breaches.length} promises were broken.`);
+		report.breaches.forEach(({ description }) => {
+			say(`  ${description}`);
+		});
+		await system.drain();
+		say('Every process drained on SIGTERM and ended with code 0.');
+		return { surprises, audit: report };
+	} finally {
+		readers.dispose();
+		await system.close();
+	}
+}
+
+/** Waits until each pool's workers are known to each entry, as its readers would by coming again. */
+async function awaitWorkers(system: LocalSystem): Promise<void> {
+	const probes = new ReaderClient();
+	const untilMs = performance.now() + settlingTimeoutMs;
+	try {
+		for (const entry of system.entries) {
+			for (const route of ['consignment-status', 'summons-check']) {
+				await probes.submitUntilTaken(
+					entry,
+					{ route, tasks: [{ token: `probe-${entry.name}-${route}`, runMs: 1 }] },
+					untilMs,
+				);
+			}
+		}
+	} finally {
+		probes.dispose();
+	}
+}
+
+async function runChapters(
+	system: LocalSystem,
+	readers: ReaderClient,
+	say: (line: string) => void,
+): Promise<string[]> {
+	const surprises: string[] = [];
+	for (const chapter of demoChapters) {
+		say('');
+		say(chapter.title);
+		for (const step of chapter.steps) {
+			const answer = await runStep(system, readers, step);
+			say(`  ${step.title}.`);
+			say(`    ${describeAnswer(answer)}`);
+			if (answer.outcome.kind !== step.expected) {
+				surprises.push(`${step.title}: ${step.expected} was expected.`);
+			}
+		}
+	}
+	return surprises;
+}
+
+async function runStep(system: LocalSystem, readers: ReaderClient, step: DemoStep): Promise<ReaderAnswer> {
+	const entry = system.entries[step.entry % system.entries.length];
+	if (entry === undefined) {
+		throw new RangeError('The demo needs an entry.');
+	}
+	return readers.submit(entry, {
+		route: step.route,
+		team: step.team,
+		tasks: step.tokens.map((token) => ({
+			token,
+			runMs: step.runMs,
+			...(step.fails === undefined ? {} : { fail: step.fails }),
+		})),
+		...(step.key === undefined ? {} : { key: step.key }),
+		...(step.repeatable === undefined ? {} : { repeatable: step.repeatable }),
+		...(step.cores === undefined ? {} : { needs: { cores: step.cores } }),
+	});
+}
+
+function describeAnswer(answer: ReaderAnswer): string {
+	const tookMs = answer.endedAtMs - answer.sentAtMs;
+	const where = `after ${tookMs} ms at ${answer.entry}`;
+	return match(answer.outcome)
+		.with({ kind: 'complete' }, ({ echoedTokens }) => {
+			const results = echoedTokens.length === 1 ? '1 result' : `all ${echoedTokens.length} results, in order`;
+			return `Complete ${where}: ${results}.`;
+		})
+		.with({ kind: 'failed' }, ({ reason }) => `Failed (${reason}) ${where}: ${answer.message}`)
+		.with({ kind: 'notRun' }, ({ reason }) => `Not run (${reason}) ${where}: ${answer.message}`)
+		.with({ kind: 'badRequest' }, ({ httpStatus }) => `Refused with HTTP ${httpStatus}: ${answer.message}`)
+		.with({ kind: 'noAnswer' }, ({ message }) => `No answer ${where}: ${message}`)
+		.with({ kind: 'left' }, () => `The reader went away ${where}.`)
+		.exhaustive();
+}
--- a/src/proof/node/exitWithParent.ts
+++ b/src/proof/node/exitWithParent.ts
@@ -5,13 +5,12 @@
  * parent ends, also by SIGKILL, so no process of a test or of the demo is left behind.
  */
 
-import { Socket } from 'node:net';
+import { stdin } from 'node:process';
 
-const standardInput = new Socket({ fd: 0, readable: true, writable: false });
 const onGone = (): void => {
 	process.kill(process.pid, 'SIGKILL');
 };
-standardInput.on('end', onGone);
-standardInput.on('error', onGone);
-standardInput.resume();
-standardInput.unref();
+stdin.on('end', onGone);
+stdin.on('error', onGone);
+stdin.resume();
+stdin.unref();
--- a/src/proof/node/readerClient.ts
+++ b/src/proof/node/readerClient.ts
@@ -3,6 +3,7 @@
 import { Agent, request } from 'undici';
 import { z } from 'zod';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
+import { delay } from '../../base/common/async.js';
 import { describeError } from '../../base/common/errors.js';
 import type { ReaderOutcome, ReaderRecord } from '../common/auditRecords.js';
 
@@ -24,6 +25,8 @@
 	readonly key?: string;
 	readonly deadlineMs?: number;
 	readonly repeatable?: boolean;
+	/** What each task needs; nothing by default. */
+	readonly needs?: { readonly cores?: number; readonly memoryBytes?: number; readonly accelerators?: number };
 }
 
 /** An entry as a reader sees it. */
@@ -47,6 +50,12 @@
 
 const defaultDeadlineMs = 10_000;
 
+/** Wait before a reader comes again after a refusal that names no time. */
+const retryWaitMs = 50;
+
+/** Longest wait before a reader comes again, whatever the refusal says; tests are not patient. */
+const maxRetryWaitMs = 250;
+
 /** Answers of `POST /v1/routes/{route}/jobs`, as docs/INTERFACE.md gives them. */
 const answerSchema = z.discriminatedUnion('status', [
 	z.object({ status: z.literal('complete'), results: z.array(z.unknown()) }),
@@ -112,6 +121,26 @@
 		return answer;
 	}
 
+	/**
+	 * Submits a job again and again while it is answered `notRun`, as a patient reader does.
+	 *
+	 * @param untilMs time of `performance.now()` after which the last refusal is returned
+	 */
+	async submitUntilTaken(
+		target: ReaderTarget,
+		job: ReaderJob,
+		untilMs: number,
+		signal?: AbortSignal,
+	): Promise<ReaderAnswer> {
+		for (;;) {
+			const answer = await this.submit(target, job, signal);
+			if (answer.outcome.kind !== 'notRun' || performance.now() > untilMs) {
+				return answer;
+			}
+			await delay(Math.min(answer.retryAfterMs ?? retryWaitMs, maxRetryWaitMs));
+		}
+	}
+
 	private async _ask(target: ReaderTarget, job: ReaderJob, signal?: AbortSignal): Promise<Told> {
 		const { route, key, ...body } = job;
 		const timeoutMs = (job.deadlineMs ?? defaultDeadlineMs) + patienceMs;
--- a/src/proof/node/test/localProcess.test.ts
+++ b/src/proof/node/test/localProcess.test.ts
@@ -9,7 +9,8 @@
 
 const waitMs = 10_000;
 
-const readyLine = `process.stderr.write(JSON.stringify({ event: 'process.ready', level: 'info', pid: process.pid }) + '\\n');`;
+/** The import reads `process.stdin`, which clashed with another socket on the same descriptor. */
+const readyLine = `import 'node:process'; process.stderr.write(JSON.stringify({ event: 'process.ready', level: 'info', pid: process.pid }) + '\\n');`;
 
 function writeProgram(t: ExecutionContext, text: string): string {
 	const folder = mkdtempSync(path.join(tmpdir(), 'yuccaarch-process-'));
