--- a/src/proof/node/demo.ts
+++ b/src/proof/node/demo.ts
@@ -12,6 +12,9 @@
 /** Longest time for agents and entries to find each other after they are ready. */
 const settlingTimeoutMs = 15_000;
 
+/** Last lines of the output of "yuccaarch apply", which come after the plan and tell the result. */
+const appliedResultLines = 2;
+
 /** What a demo found. */
 export interface DemoReport {
 	/** Titles of the steps that did not end as they must. */
@@ -36,7 +39,9 @@
 	});
 	const readers = new ReaderClient();
 	try {
-		say(await system.apply(Object.values(exampleFiles)));
+		say('Applying examples/registro-rioplatense.toml and examples/citacion-clara.toml.');
+		const applied = await system.apply(Object.values(exampleFiles));
+		say(applied.split('\n').slice(-appliedResultLines).join('\n'));
 		await system.waitUntilServing();
 		await awaitWorkers(system);
 		const surprises = await runChapters(system, readers, say);
