--- a/src/agent/common/agentCore.ts
+++ b/src/agent/common/agentCore.ts
@@ -37,8 +37,8 @@
 	for (const input of inputs) {
 		takeInput(tick, input);
 	}
-	runMembership(tick);
 	runLeases(tick);
+	runMembership(tick);
 	runAdmission(tick);
 	runUsageSampling(tick);
 	runOutcomes(tick);
--- a/src/agent/common/systems/entryMessageSystem.ts
+++ b/src/agent/common/systems/entryMessageSystem.ts
@@ -16,13 +16,10 @@
 import type { TaskRecord } from '../taskTable.js';
 import { canEverFit } from './admissionSystem.js';
 import { isAccepting } from './membershipSystem.js';
-import { endTask, fenceTask, identityOf, stopRunning } from './taskEnds.js';
+import { endTask, everyAttempt, fenceTask, identityOf, notStartedEnd, stopRunning } from './taskEnds.js';
 
 type EntryMessageInput = Extract<AgentInput, { kind: 'entryMessage' }>;
 
-/** Every attempt of a task. */
-const everyAttempt = Number.MAX_SAFE_INTEGER;
-
 const forgottenEndMessage =
 	'The task was started at this agent earlier and has ended; its result was delivered and is no longer held.';
 const restartedAgentMessage =
@@ -75,6 +72,10 @@
 	const attempt = task.attempt ?? 0;
 	const known = tasks.get(identity);
 	if (known !== undefined && !(known.state === 'fenced' && attempt > known.attempt)) {
+		if (known.live !== undefined) {
+			// A later attempt joins the one that is live, so that its end answers both.
+			known.attempt = Math.max(known.attempt, attempt);
+		}
 		answerKnown(tick, entry, known);
 		return;
 	}
@@ -172,7 +173,7 @@
 	}
 	const end =
 		record.state === 'fenced'
-			? ({ state: 'notStarted', reason: 'fenced' } as const)
+			? notStartedEnd(record, 'fenced')
 			: ({ state: 'unknown', message: forgottenEndMessage } as const);
 	tick.reply(entry.connectionId, { ...identityOf(record), end });
 }
@@ -186,7 +187,7 @@
 		}
 		if (record.state === 'queued') {
 			record.attempt = everyAttempt;
-			endTask(tick, record, { state: 'notStarted', reason: 'cancelled' });
+			endTask(tick, record, notStartedEnd(record, 'cancelled'));
 			continue;
 		}
 		stopRunning(tick, record, 'The task was cancelled.');
@@ -219,20 +220,26 @@
 	if (record.state === 'queued' && record.attempt <= attempt) {
 		record.attempt = attempt;
 		tick.tables.tasks.addRecipient(record, entry);
-		endTask(tick, record, { state: 'notStarted', reason: 'fenced' });
+		endTask(tick, record, notStartedEnd(record, 'fenced'));
 		return;
 	}
-	if (record.state === 'fenced') {
-		record.attempt = Math.max(record.attempt, attempt);
+	if (record.state === 'fenced' && attempt > record.attempt) {
+		record.attempt = attempt;
+		// An end that is still to be acknowledged must speak for the greater attempt as well.
+		record.end &&= notStartedEnd(record, 'fenced');
 	}
 	answerKnown(tick, entry, record);
 }
 
 function takeAcknowledgements(tick: AgentTick, entry: EntryRow, message: AcknowledgeOutcomesMessage): void {
 	const { tasks } = tick.tables;
+	if (tick.connected.has(entry)) {
+		return;
+	}
 	for (const identity of message.tasks) {
 		const record = tasks.get(identity);
-		if (record !== undefined) {
+		// What this tick has yet to tell can't have been acknowledged: the message means an earlier end.
+		if (record !== undefined && !tick.ended.has(record)) {
 			tasks.acknowledge(record, entry);
 		}
 	}
--- a/src/agent/common/systems/runSystem.ts
+++ b/src/agent/common/systems/runSystem.ts
@@ -7,7 +7,7 @@
 import type { LiveTask, TaskRecord } from '../taskTable.js';
 import { learnUsage } from './guardSystem.js';
 import { dropUpstream } from './membershipSystem.js';
-import { endTask, runMsOf } from './taskEnds.js';
+import { endTask, notStartedEnd, runMsOf } from './taskEnds.js';
 
 type RunEndedInput = Extract<AgentInput, { kind: 'runEnded' }>;
 
@@ -39,7 +39,7 @@
 			message: live.stopMessage === '' ? 'The upstream stopped the task.' : live.stopMessage,
 			runMs,
 		}))
-		.with({ state: 'notStarted' }, () => ({ state: 'notStarted', reason: 'upstreamRefused' }))
+		.with({ state: 'notStarted' }, () => notStartedEnd(record, 'upstreamRefused'))
 		.with({ state: 'lost' }, ({ message }) => ({ state: 'unknown', message }))
 		.exhaustive();
 }
--- a/src/agent/common/systems/taskEnds.ts
+++ b/src/agent/common/systems/taskEnds.ts
@@ -5,6 +5,9 @@
 import type { AgentTick, EntryRow } from '../agentTables.js';
 import type { TaskRecord } from '../taskTable.js';
 
+/** Every attempt of a task. */
+export const everyAttempt = Number.MAX_SAFE_INTEGER;
+
 /**
  * Records for fences that are kept free beside the limit for starts: refusing a start needs a record too, or the
  * refused start could still run when it comes again.
@@ -19,6 +22,13 @@
 	return { submissionId, taskIndex };
 }
 
+/** The end of a task that never started and never will under attempts up to the record's. */
+export function notStartedEnd(record: TaskRecord, reason: NotStartedReason): TaskEnd {
+	return record.attempt === everyAttempt
+		? { state: 'notStarted', reason }
+		: { state: 'notStarted', reason, attempt: record.attempt };
+}
+
 /** Ends a task; its recipients are told in this tick's frames. The caller drops it from the queue. */
 export function endTask(tick: AgentTick, record: TaskRecord, end: TaskEnd): void {
 	tick.tables.tasks.end(record, end, tick.nowMs);
@@ -45,7 +55,7 @@
 	}
 	const record = tasks.addFenced(identity, attempt);
 	tasks.addRecipient(record, entry);
-	endTask(tick, record, { state: 'notStarted', reason });
+	endTask(tick, record, notStartedEnd(record, reason));
 }
 
 /** Ends every queued task for which a reason is found. */
@@ -60,7 +70,7 @@
 	tasks.queue = tasks.queue.filter((record) => {
 		const reason = reasonOf(record);
 		if (reason !== undefined) {
-			endTask(tick, record, { state: 'notStarted', reason });
+			endTask(tick, record, notStartedEnd(record, reason));
 		}
 		return reason === undefined;
 	});
--- a/src/agent/common/taskTable.ts
+++ b/src/agent/common/taskTable.ts
@@ -122,7 +122,7 @@
 	enqueue(identity: TaskIdentity, attempt: number, live: LiveTask, recipient: Recipient): TaskRecord {
 		const record = this._put(identity, 'queued', attempt);
 		record.live = live;
-		record.recipients = [toRecipient(recipient)];
+		this.addRecipient(record, recipient);
 		this.queue.push(record);
 		return record;
 	}
@@ -225,6 +225,8 @@
 	private _put(identity: TaskIdentity, state: KnownTaskState, attempt: number): TaskRecord {
 		const key = taskKey(identity);
 		const earlier = this._records.get(key);
+		// Entries that have not acknowledged the end of an earlier attempt are told that of the later one.
+		const recipients = earlier?.recipients ?? noRecipients;
 		if (earlier !== undefined) {
 			this._ended.delete(earlier);
 			this._settle(earlier);
@@ -236,7 +238,7 @@
 			attempt,
 			live: undefined,
 			end: undefined,
-			recipients: noRecipients,
+			recipients,
 			forgetAtMs: Infinity,
 		};
 		this._records.set(key, record);
--- a/src/code/node/commands/agentCommand.ts
+++ b/src/code/node/commands/agentCommand.ts
@@ -1,12 +1,53 @@
 /** `yuccaarch agent`: Runs an agent, which stands beside one upstream. */
 
 import { defineCommand } from 'citty';
+import { randomUUID } from 'node:crypto';
+import { agentSettingsSchema, type AgentSettings } from '../../../agent/common/agentSettings.js';
+import { AgentDaemon } from '../../../agent/node/agentDaemon.js';
+import { HttpWorkerPlatform } from '../../../agent/node/httpWorkerPlatform.js';
+import { monotonicClock } from '../../../base/common/clock.js';
+import { ControlPlaneClient } from '../../../control/node/controlPlaneClient.js';
+import { reportSettingsError, runDaemon } from '../../../platform/daemon/node/daemon.js';
+import { ConsolaLogService } from '../../../platform/log/node/consolaLogService.js';
+import type { ILogService } from '../../../platform/log/common/log.js';
+import { loadSettings } from '../../../platform/settings/node/loadSettings.js';
+import type { PeerIdentity } from '../../../platform/transport/common/transport.js';
 
 /** The command's definition. */
 export const agentCommand = defineCommand({
 	meta: { name: 'agent', description: 'Runs an agent, which stands beside one upstream.' },
-	run: () => {
-		process.stderr.write('The command "agent" is not built yet.\n');
-		process.exitCode = 1;
+	args: {
+		settings: { type: 'positional', required: true, description: 'Settings file, in TOML.' },
+	},
+	run: async ({ args }) => {
+		let settings: AgentSettings;
+		try {
+			settings = loadSettings(args.settings, agentSettingsSchema);
+		} catch (error) {
+			reportSettingsError(error);
+			return;
+		}
+		const log = new ConsolaLogService({ role: 'agent', instance: settings.processId }, settings.log);
+		await runDaemon({
+			log,
+			drainTimeoutMs: settings.drainTimeoutMs,
+			start: () => startAgent(settings, log),
+		});
 	},
 });
+
+function startAgent(settings: AgentSettings, log: ILogService): Promise<AgentDaemon> {
+	const identity: PeerIdentity = {
+		role: 'agent',
+		processId: settings.processId,
+		incarnation: randomUUID(),
+	};
+	const { keepers, sharedSecret: secret, maxResultBytes } = settings;
+	return AgentDaemon.start(settings, {
+		identity,
+		controlPlane: new ControlPlaneClient({ keepers, identity, secret, log }),
+		platform: new HttpWorkerPlatform({ maxResultBytes }, log),
+		clock: monotonicClock,
+		log,
+	});
+}
--- a/src/protocol/common/agentMessages.ts
+++ b/src/protocol/common/agentMessages.ts
@@ -106,7 +106,10 @@
 	readonly tasks: readonly TaskIdentity[];
 }
 
-/** Tells an agent which outcomes have arrived, so that it may forget the results (not the identities). */
+/**
+ * Tells an agent which outcomes have arrived, so that it may forget the results (not the identities). To be sent
+ * before a greater attempt of the same task.
+ */
 export interface AcknowledgeOutcomesMessage {
 	readonly kind: 'acknowledgeOutcomes';
 	readonly revision: number;
@@ -141,8 +144,16 @@
 	| { readonly state: 'failed'; readonly message: string; readonly runMs: number }
 	/** The task was running and was stopped. */
 	| { readonly state: 'stopped'; readonly message: string; readonly runMs: number }
-	/** The task never started and never will at this agent: only it may be placed elsewhere. */
-	| { readonly state: 'notStarted'; readonly reason: NotStartedReason }
+	/**
+	 * The task never started and never will at this agent under attempts up to `attempt` (all of them when it is
+	 * absent): only it may be placed elsewhere. A sender of attempts must ignore an answer to an earlier attempt than
+	 * its latest, such as one to a doubled start.
+	 */
+	| {
+			readonly state: 'notStarted';
+			readonly reason: NotStartedReason;
+			readonly attempt?: number | undefined;
+	  }
 	/** The task may or may not have run. */
 	| { readonly state: 'unknown'; readonly message: string };
 
