--- a/src/bench/common/benchReport.ts
+++ b/src/bench/common/benchReport.ts
@@ -29,6 +29,7 @@
 	readonly load: number;
 	readonly seed: number;
 	readonly durationMs: number;
+	readonly isKeyed: boolean;
 	readonly jobs: number;
 	readonly tasks: number;
 	readonly outcomes: OutcomeCounts;
@@ -41,6 +42,8 @@
 	readonly relayMessagesPerTask: number;
 	/** All else beyond one start and one answer a task. */
 	readonly wastedMessagesPerTask: number;
+	/** Wasted messages of the whole run by their kind. */
+	readonly wastedByKind: Readonly<Record<string, number>>;
 	readonly doubleStarts: number;
 	readonly partialAnswers: number;
 	readonly untrueRefusals: number;
--- a/src/bench/common/benchSummary.ts
+++ b/src/bench/common/benchSummary.ts
@@ -19,8 +19,8 @@
 	readonly startsAndAnswers: number;
 	/** Whole jobs passed between entries, and their answers. */
 	readonly relays: number;
-	/** All else. */
-	readonly wasted: number;
+	/** All else, by kind. */
+	readonly wastedByKind: Readonly<Record<string, number>>;
 }
 
 /** What a run recorded. */
@@ -31,6 +31,7 @@
 	readonly load: number;
 	readonly seed: number;
 	readonly durationMs: number;
+	readonly isKeyed: boolean;
 	readonly jobs: readonly ArrivingJob[];
 	readonly ended: readonly EndedJob[];
 	/** Ideal response by `jobIndex`, without the reader's round trip. */
@@ -58,7 +59,8 @@
 			: [{ responseMs: job.responseMs, idealMs: idealMs + run.readerRoundTripMs }];
 	});
 	const perTask = (count: number): number => Number((count / Math.max(1, run.startedTasks)).toFixed(4));
-	const { startsAndAnswers, relays, wasted } = run.messages;
+	const { startsAndAnswers, relays, wastedByKind } = run.messages;
+	const wasted = Object.values(wastedByKind).reduce((sum, count) => sum + count, 0);
 	return {
 		policy: run.policy,
 		scenario: run.scenario,
@@ -66,6 +68,7 @@
 		load: run.load,
 		seed: run.seed,
 		durationMs: run.durationMs,
+		isKeyed: run.isKeyed,
 		jobs: run.jobs.length,
 		tasks: run.jobs.reduce((sum, job) => sum + job.runMs.length, 0),
 		outcomes: countOutcomes(run.ended),
@@ -74,6 +77,7 @@
 		messagesPerTask: perTask(startsAndAnswers + relays + wasted),
 		relayMessagesPerTask: perTask(relays),
 		wastedMessagesPerTask: perTask(wasted),
+		wastedByKind,
 		doubleStarts: run.breaches.doubleStarts,
 		partialAnswers: run.breaches.partialAnswers + run.breaches.crossedAnswers,
 		untrueRefusals: run.breaches.untrueRefusals,
--- a/src/bench/node/benchRun.ts
+++ b/src/bench/node/benchRun.ts
@@ -26,6 +26,8 @@
 	readonly seed: number;
 	readonly durationMs: number;
 	readonly deployment: DeploymentName;
+	/** Whether jobs have idempotency keys. */
+	readonly isKeyed: boolean;
 }
 
 /** Connections to each entry that readers hold from the start, so that a response has no connection set-up in it. */
@@ -36,7 +38,7 @@
  * Runs the system under one scenario and reports what readers saw.
  *
  * @example
- * const report = await runBench({ policy: 'home', load: 0.8, scenario: 'steady', seed: 1, durationMs: 30_000, deployment: 'registro' });
+ * const report = await runBench({ policy: 'home', load: 0.8, scenario: 'steady', seed: 1, durationMs: 30_000, deployment: 'registro', isKeyed: false });
  */
 export async function runBench(options: BenchOptions): Promise<BenchReport> {
 	const run = new BenchRun(options);
@@ -107,6 +109,7 @@
 			route: benchRoute,
 			jobs: this._jobs,
 			deadlineMs: benchDeadlineMs,
+			isKeyed: this._options.isKeyed,
 			warmConnections,
 		};
 		const thread = new Worker(senderThreadFile, { workerData });
--- a/src/bench/node/entryCounters.ts
+++ b/src/bench/node/entryCounters.ts
@@ -18,13 +18,15 @@
 	wastedMessages: z.record(z.string(), framesSchema),
 });
 
+const bodySchema = z.object({ counters: statsSchema });
+
 /** Counters of one entry. */
 export type EntryCounters = z.output<typeof statsSchema>;
 
 /** Reads the counters of one entry. */
 export async function readEntryCounters(entry: LocalEntry): Promise<EntryCounters> {
 	const response = await request(`${entry.url}/v1/stats`);
-	return statsSchema.parse(await response.body.json());
+	return bodySchema.parse(await response.body.json()).counters;
 }
 
 /**
@@ -41,17 +43,26 @@
 	return {
 		startsAndAnswers: sum((entry) => entry.startsSent + entry.outcomesReceived),
 		relays: sum((entry) => entry.relayedJobs + entry.relayedAnswers),
-		wasted: sum((entry) =>
-			Object.values(entry.wastedMessages).reduce((total, { frames }) => total + frames, 0),
+		wastedByKind: Object.fromEntries(
+			wastedKindsOf(counters).map((kind) => [kind, sum((entry) => entry.wastedMessages[kind]?.frames ?? 0)]),
 		),
 	};
 }
 
+function wastedKindsOf(counters: readonly EntryCounters[]): string[] {
+	return [...new Set(counters.flatMap((entry) => Object.keys(entry.wastedMessages)))];
+}
+
 /** What was counted between two readings. */
 export function subtractCounts(after: MessageCounts, before: MessageCounts): MessageCounts {
 	return {
 		startsAndAnswers: after.startsAndAnswers - before.startsAndAnswers,
 		relays: after.relays - before.relays,
-		wasted: after.wasted - before.wasted,
+		wastedByKind: Object.fromEntries(
+			Object.entries(after.wastedByKind).map(([kind, count]) => [
+				kind,
+				count - (before.wastedByKind[kind] ?? 0),
+			]),
+		),
 	};
 }
--- a/src/bench/node/senderProtocol.ts
+++ b/src/bench/node/senderProtocol.ts
@@ -9,6 +9,8 @@
 	readonly route: string;
 	readonly jobs: readonly ArrivingJob[];
 	readonly deadlineMs: number;
+	/** Whether jobs have idempotency keys. */
+	readonly isKeyed: boolean;
 	/** Connections to each entry that are opened before the first job. */
 	readonly warmConnections: number;
 }
--- a/src/code/node/commands/benchCommand.ts
+++ b/src/code/node/commands/benchCommand.ts
@@ -15,6 +15,7 @@
 	seed: z.coerce.number().int().nonnegative(),
 	durationMs: z.coerce.number().positive().max(600_000),
 	deployment: z.enum(['registro', 'citacion']),
+	isKeyed: z.boolean(),
 	parts: z.array(z.enum(benchParts)).min(1),
 });
 
@@ -37,6 +38,7 @@
 			description: 'registro or citacion: sizes and delays.',
 		},
 		parts: { type: 'string', default: benchParts.join(','), description: 'Parts to run: load, idle, rate.' },
+		keyed: { type: 'boolean', default: false, description: 'Sends jobs with idempotency keys.' },
 		json: { type: 'boolean', default: false, description: 'Prints one JSON object on one line.' },
 	},
 	run: async ({ args }) => {
@@ -52,6 +54,15 @@
 	},
 });
 
-function toOptions(args: { readonly seconds: string; readonly parts: string }): object {
-	return { ...args, durationMs: Number(args.seconds) * 1000, parts: args.parts.split(',') };
+function toOptions(args: {
+	readonly seconds: string;
+	readonly parts: string;
+	readonly keyed: boolean;
+}): object {
+	return {
+		...args,
+		isKeyed: args.keyed,
+		durationMs: Number(args.seconds) * 1000,
+		parts: args.parts.split(','),
+	};
 }
