--- /dev/null
+++ b/src/agent/test/agentProcess.test.ts
@@ -0,0 +1,241 @@
+import test, { type ExecutionContext } from 'ava';
+import { waitFor } from '../../base/common/async.js';
+import type { StartBatch } from '../../protocol/common/agentMessages.js';
+import { noNeeds } from '../../protocol/common/jobs.js';
+import { AgentHarness, patienceMs } from './agentHarness.js';
+import { tablesAt } from './coreModel.js';
+
+function jobOf(submissionId: string, tasks: number, payload: object): StartBatch {
+	return {
+		submissionId,
+		route: 'lookup',
+		team: 'team-1',
+		needs: noNeeds,
+		startWithinMs: 20_000,
+		leaseMs: 20_000,
+		tasks: Array.from({ length: tasks }, (_, taskIndex) => ({
+			taskIndex,
+			payloadJson: JSON.stringify({ ...payload, mark: `${submissionId}/${taskIndex}` }),
+		})),
+	};
+}
+
+async function withHarness(
+	t: ExecutionContext,
+	upstreamArgs: readonly string[],
+	run: (harness: AgentHarness) => Promise<void>,
+): Promise<void> {
+	const harness = await AgentHarness.start(upstreamArgs);
+	try {
+		await run(harness);
+		for (const [key, count] of harness.starts()) {
+			t.is(count, 1, `${key} was started ${count} times.`);
+		}
+	} finally {
+		harness.dispose();
+	}
+}
+
+test('tasks run in the slots, and each result is that of its own task', async (t) => {
+	await withHarness(t, ['--slots', '4'], async ({ entry }) => {
+		entry.start(jobOf('job-1', 20, { runMs: 5 }));
+		await waitFor('all tasks are answered', patienceMs, () => entry.outcomes.length === 20);
+		for (const { submissionId, taskIndex, end } of entry.outcomes) {
+			const result = JSON.parse(end.state === 'done' ? end.resultJson : '{}') as { echo: { mark: string } };
+			t.is(result.echo.mark, `${submissionId}/${taskIndex}`);
+		}
+	});
+});
+
+test('SIGTERM of the agent ends running tasks, returns queued ones, and exits 0', async (t) => {
+	await withHarness(t, ['--slots', '2'], async (harness) => {
+		const { entry, agent } = harness;
+		entry.start(jobOf('job-1', 4, { runMs: 400 }));
+		await waitFor('two tasks run', patienceMs, () => harness.starts().size === 2);
+		agent.signal('SIGTERM');
+		t.is(await agent.exited, 0);
+		const states = [0, 1, 2, 3].map((index) => entry.endsOf('job-1', index)[0]?.state);
+		t.deepEqual(states, ['done', 'done', 'notStarted', 'notStarted']);
+		t.true(entry.state?.isLeaving);
+		t.is(harness.starts().size, 2);
+	});
+});
+
+test('SIGTERM of the upstream withdraws it and cuts off nothing', async (t) => {
+	await withHarness(t, ['--slots', '2'], async (harness) => {
+		const { entry, upstream } = harness;
+		entry.start(jobOf('job-1', 4, { runMs: 400 }));
+		await waitFor('two tasks run', patienceMs, () => harness.starts().size === 2);
+		upstream.signal('SIGTERM');
+		await waitFor('the agent is leaving', patienceMs, () => entry.state?.isLeaving === true);
+		entry.start(jobOf('job-2', 1, { runMs: 1 }));
+		t.is(await upstream.exited, 0);
+		await waitFor('all tasks are answered', patienceMs, () => entry.outcomes.length === 5);
+		const states = [0, 1, 2, 3].map((index) => entry.endsOf('job-1', index)[0]?.state);
+		t.deepEqual(states, ['done', 'done', 'notStarted', 'notStarted']);
+		t.like(entry.endsOf('job-2', 0)[0], { state: 'notStarted', reason: 'leaving' });
+		t.is(harness.starts().size, 2);
+	});
+});
+
+test('SIGKILL of the upstream: running tasks are unknown, others never start, and the next run takes new ones', async (t) => {
+	await withHarness(t, ['--slots', '2'], async (harness) => {
+		const { entry, upstream } = harness;
+		entry.start(jobOf('job-1', 5, { runMs: 5000 }));
+		await waitFor('two tasks run', patienceMs, () => harness.starts().size === 2);
+		upstream.signal('SIGKILL');
+		await waitFor('all tasks are answered', patienceMs, () => entry.outcomes.length === 5);
+		const states = [0, 1, 2, 3, 4].map((index) => entry.endsOf('job-1', index)[0]?.state);
+		t.deepEqual(states, ['unknown', 'unknown', 'notStarted', 'notStarted', 'notStarted']);
+		t.is(entry.state?.offer, undefined);
+		await harness.startUpstream(['--slots', '2']);
+		await waitFor('the upstream is back', patienceMs, () => entry.isReady);
+		entry.start(jobOf('job-1', 5, { runMs: 1 }));
+		entry.start(jobOf('job-2', 1, { runMs: 1 }));
+		await waitFor('the new task is done', patienceMs, () => entry.endsOf('job-2', 0)[0]?.state === 'done');
+		t.is(harness.starts().size, 3);
+	});
+});
+
+test('SIGKILL of the agent: its successor promises nothing about tasks that were sent to it', async (t) => {
+	await withHarness(t, ['--slots', '1'], async (harness) => {
+		const { entry, agent } = harness;
+		entry.start(jobOf('job-1', 2, { runMs: 300 }));
+		await waitFor('a task runs', patienceMs, () => harness.starts().size === 1);
+		const agentIncarnation = entry.agentIncarnations[0];
+		agent.signal('SIGKILL');
+		await agent.exited;
+		await harness.startAgent();
+		await waitFor('the next agent has connected', patienceMs, () => entry.agentIncarnations.length === 2);
+		const tasks = [0, 1].map((taskIndex) => ({ submissionId: 'job-1', taskIndex }));
+		entry.send({ kind: 'fenceTasks', revision: 1, epoch: 1, agentIncarnation, tasks });
+		await waitFor('the fences are answered', patienceMs, () => entry.outcomes.length === 2);
+		t.deepEqual(
+			entry.outcomes.map(({ end }) => end.state),
+			['unknown', 'unknown'],
+		);
+	});
+});
+
+test('SIGSTOP of the upstream: within 2 s nothing more is offered, and queued tasks never start', async (t) => {
+	await withHarness(t, ['--slots', '2'], async (harness) => {
+		const { entry, upstream } = harness;
+		entry.start(jobOf('job-1', 4, { runMs: 3000 }));
+		await waitFor('two tasks run', patienceMs, () => harness.starts().size === 2);
+		upstream.signal('SIGSTOP');
+		const stoppedAtMs = performance.now();
+		await waitFor('the offer is gone', patienceMs, () => entry.state?.offer === undefined);
+		t.true(performance.now() - stoppedAtMs < 2000);
+		await waitFor('queued tasks are returned', patienceMs, () => entry.outcomes.length === 2);
+		t.true(entry.outcomes.every(({ end }) => end.state === 'notStarted'));
+		upstream.signal('SIGCONT');
+		await waitFor('the running tasks are answered', patienceMs, () => entry.outcomes.length === 4);
+		await waitFor('the upstream is back', patienceMs, () => entry.isReady);
+		t.is(harness.starts().size, 2);
+	});
+});
+
+test('an outcome that was lost with the connection is told after the reconnect', async (t) => {
+	await withHarness(t, ['--slots', '1'], async (harness) => {
+		const { entry } = harness;
+		entry.start(jobOf('job-1', 2, { runMs: 200 }));
+		await waitFor('a task runs', patienceMs, () => harness.starts().size === 1);
+		entry.connection?.dispose();
+		await waitFor('both tasks are answered', patienceMs, () => entry.outcomes.length >= 2);
+		t.is(entry.endsOf('job-1', 0)[0]?.state, 'done');
+		t.like(entry.endsOf('job-1', 1)[0], { state: 'notStarted', reason: 'connectionLost' });
+		t.is(harness.starts().size, 1);
+	});
+});
+
+test("an operator's drain reaches the agent within 2 s, and its end brings it back", async (t) => {
+	await withHarness(t, ['--slots', '1'], async (harness) => {
+		const { entry, keeper } = harness;
+		const startedAtMs = performance.now();
+		keeper.publish({ tables: tablesAt(2, { drains: [{ name: 'agent-1' }] }) });
+		await waitFor('the agent is leaving', patienceMs, () => entry.state?.isLeaving === true);
+		t.true(performance.now() - startedAtMs < 2000);
+		entry.start(jobOf('job-1', 1, { runMs: 1 }));
+		await waitFor('the start is refused', patienceMs, () => entry.outcomes.length === 1);
+		t.like(entry.outcomes[0]?.end, { state: 'notStarted', reason: 'leaving' });
+		keeper.publish({ tables: tablesAt(3) });
+		await waitFor('the agent is back', patienceMs, () => entry.isReady);
+		keeper.publish({ tables: tablesAt(4, { pools: [], routes: [] }) });
+		await waitFor('the agent leaves a dropped pool', patienceMs, () => entry.state?.isLeaving === true);
+	});
+});
+
+test('cut off from the keepers, the agent takes starts only from a sender that is fresh', async (t) => {
+	await withHarness(t, ['--slots', '1'], async (harness) => {
+		const { entry, keeper } = harness;
+		keeper.isSilent = true;
+		let round = 0;
+		await waitFor(
+			'a stale sender is refused',
+			patienceMs,
+			() => {
+				round += 1;
+				entry.start(jobOf(`job-${round}`, 1, { runMs: 1 }), { ageMs: 2500 });
+				return entry.outcomes.some(({ end }) => end.state === 'notStarted' && end.reason === 'staleTables');
+			},
+			100,
+		);
+		entry.start(jobOf('job-fresh', 1, { runMs: 1 }), { ageMs: 100 });
+		await waitFor(
+			'a fresh sender is served',
+			patienceMs,
+			() => entry.endsOf('job-fresh', 0)[0]?.state === 'done',
+		);
+	});
+});
+
+test('a wave of cancellations stops running tasks and drops queued ones', async (t) => {
+	await withHarness(t, ['--slots', '2'], async (harness) => {
+		const { entry } = harness;
+		entry.start(jobOf('job-1', 6, { runMs: 10_000 }));
+		await waitFor('two tasks run', patienceMs, () => harness.starts().size === 2);
+		const tasks = Array.from({ length: 6 }, (_, taskIndex) => ({ submissionId: 'job-1', taskIndex }));
+		entry.send({ kind: 'cancelTasks', revision: 1, tasks });
+		await waitFor('all tasks are answered', patienceMs, () => entry.outcomes.length === 6);
+		const states = tasks.map(({ taskIndex }) => entry.endsOf('job-1', taskIndex)[0]?.state);
+		t.deepEqual(states, ['stopped', 'stopped', 'notStarted', 'notStarted', 'notStarted', 'notStarted']);
+		t.is(harness.journaled('stop').length, 2);
+	});
+});
+
+test('a task that outlives its lease is checkpointed and stopped', async (t) => {
+	await withHarness(t, ['--slots', '1'], async (harness) => {
+		const { entry } = harness;
+		entry.start({ ...jobOf('job-1', 1, { runMs: 60_000 }), leaseMs: 2500 });
+		await waitFor('the task is answered', patienceMs, () => entry.outcomes.length === 1);
+		t.is(entry.outcomes[0]?.end.state, 'stopped');
+		t.is(harness.journaled('checkpoint').length, 1);
+	});
+});
+
+test('an upstream that refuses before the start is answered as not started', async (t) => {
+	await withHarness(t, ['--refuse-share', '1'], async (harness) => {
+		const { entry } = harness;
+		entry.start(jobOf('job-1', 3, { runMs: 1 }));
+		await waitFor('all tasks are answered', patienceMs, () => entry.outcomes.length === 3);
+		t.true(entry.outcomes.every(({ end }) => end.state === 'notStarted' && end.reason === 'upstreamRefused'));
+		t.is(harness.starts().size, 0);
+	});
+});
+
+test('a task that uses more than its share of an overloaded upstream is throttled or stopped', async (t) => {
+	await withHarness(
+		t,
+		['--slots', '4', '--cores', '4', '--memory-bytes', '4000', '--usage-lag-ms', '100'],
+		async (harness) => {
+			const { entry } = harness;
+			entry.start(jobOf('job-cores', 1, { runMs: 8000, cores: 8 }));
+			entry.start(jobOf('job-memory', 1, { runMs: 8000, memoryBytes: 5000 }));
+			entry.start(jobOf('job-small', 1, { runMs: 3000, cores: 0.1, memoryBytes: 10 }));
+			await waitFor('the small task is done', patienceMs, () => entry.endsOf('job-small', 0).length === 1);
+			t.is(entry.endsOf('job-small', 0)[0]?.state, 'done');
+			t.is(entry.endsOf('job-memory', 0)[0]?.state, 'stopped');
+			t.deepEqual(harness.journaled('throttle').slice(0, 1), ['job-cores/0']);
+		},
+	);
+});
