--- a/src/agent/common/agentInputs.ts
+++ b/src/agent/common/agentInputs.ts
@@ -5,11 +5,12 @@
 import type { TaskIdentity, TaskNeeds } from '../../protocol/common/jobs.js';
 import type { LogFields } from '../../platform/log/common/log.js';
 import type { Announcement } from './announcement.js';
+import type { TaskUsage } from './taskTable.js';
 
 /** How a run ended, as the platform saw it. */
 export type RunEnd =
-	| { readonly state: 'done'; readonly resultJson: string }
-	| { readonly state: 'failed'; readonly message: string }
+	| { readonly state: 'done'; readonly resultJson: string; readonly usage?: TaskUsage | undefined }
+	| { readonly state: 'failed'; readonly message: string; readonly usage?: TaskUsage | undefined }
 	/** The upstream confirmed that it stopped the task. */
 	| { readonly state: 'stopped' }
 	/** The task surely has not started. `unreachable`: nothing listens at the upstream's address. */
--- a/src/agent/common/systems/entryMessageSystem.ts
+++ b/src/agent/common/systems/entryMessageSystem.ts
@@ -182,11 +182,10 @@
 	for (const identity of message.tasks) {
 		const record = tick.tables.tasks.get(identity);
 		if (record === undefined) {
-			fenceTask(tick, entry, identity, everyAttempt, 'cancelled');
+			fenceTask(tick, entry, identity, message.attempt ?? everyAttempt, 'cancelled');
 			continue;
 		}
 		if (record.state === 'queued') {
-			record.attempt = everyAttempt;
 			endTask(tick, record, notStartedEnd(record, 'cancelled'));
 			continue;
 		}
--- a/src/agent/common/systems/guardSystem.ts
+++ b/src/agent/common/systems/guardSystem.ts
@@ -50,10 +50,7 @@
 		if (live?.startedAtMs === undefined) {
 			continue;
 		}
-		live.usage = {
-			cores: sample.cores,
-			memoryBytes: Math.max(sample.memoryBytes, live.usage?.memoryBytes ?? 0),
-		};
+		noteUsage(live, sample);
 		newestAtMs = Math.max(newestAtMs, nowMs - sample.ageMs);
 	}
 	const { upstream } = tables;
@@ -66,6 +63,14 @@
 	}
 }
 
+/** Keeps the latest use of cores and the greatest use of memory. */
+export function noteUsage(live: LiveTask, usage: TaskUsage | undefined): void {
+	if (usage !== undefined) {
+		const memoryBytes = Math.max(usage.memoryBytes, live.usage?.memoryBytes ?? 0);
+		live.usage = { cores: usage.cores, memoryBytes };
+	}
+}
+
 /** Remembers what an ended task was measured to use. */
 export function learnUsage(tables: AgentTables, live: LiveTask): void {
 	if (live.usage !== undefined && live.throttleShare === 1) {
--- a/src/agent/common/systems/membershipSystem.ts
+++ b/src/agent/common/systems/membershipSystem.ts
@@ -66,6 +66,15 @@
 	tables.upstream = undefined;
 }
 
+/** Starts nothing more at an upstream that lost a connection, until it announces itself again. */
+export function suspectUpstream(tick: AgentTick, upstream: UpstreamRow): void {
+	if (upstream.isSuspect) {
+		return;
+	}
+	upstream.isSuspect = true;
+	tick.log('warn', 'upstream.suspected', { upstreamId: upstream.upstreamId });
+}
+
 /** Drops a lapsed announcement, returns queued tasks that can't start any more, and tells entries of changes. */
 export function runMembership(tick: AgentTick): void {
 	const { tables, nowMs } = tick;
--- a/src/agent/common/systems/runSystem.ts
+++ b/src/agent/common/systems/runSystem.ts
@@ -5,8 +5,8 @@
 import type { AgentInput, RunEnd } from '../agentInputs.js';
 import type { AgentTick } from '../agentTables.js';
 import type { LiveTask, TaskRecord } from '../taskTable.js';
-import { learnUsage } from './guardSystem.js';
-import { dropUpstream } from './membershipSystem.js';
+import { learnUsage, noteUsage } from './guardSystem.js';
+import { dropUpstream, suspectUpstream } from './membershipSystem.js';
 import { endTask, notStartedEnd, runMsOf } from './taskEnds.js';
 
 type RunEndedInput = Extract<AgentInput, { kind: 'runEnded' }>;
@@ -18,13 +18,16 @@
 	if (record?.live === undefined) {
 		return;
 	}
+	if ('usage' in input.end) {
+		noteUsage(record.live, input.end.usage);
+	}
 	learnUsage(tables, record.live);
 	endTask(tick, record, toTaskEnd(tick, record, record.live, input.end));
 	if (input.end.state === 'notStarted' && input.end.cause === 'unreachable') {
 		dropUpstream(tick, 'unreachable');
 	}
 	if (input.end.state === 'lost' && tables.upstream !== undefined) {
-		tables.upstream.isSuspect = true;
+		suspectUpstream(tick, tables.upstream);
 	}
 }
 
--- a/src/agent/common/upstreamProtocol.ts
+++ b/src/agent/common/upstreamProtocol.ts
@@ -12,6 +12,10 @@
 	leaseMs: 'yuccaarch-lease-ms',
 	/** On a refusal with status 503: the task surely has not started. */
 	notStarted: 'yuccaarch-not-started',
+	/** On the answer of a task, optional: cores that it used, on average. */
+	usedCores: 'yuccaarch-used-cores',
+	/** On the answer of a task, optional: the most memory that it used. */
+	usedMemoryBytes: 'yuccaarch-used-memory-bytes',
 } as const;
 
 /** Status of an upstream's refusal; counts as one only together with {@link upstreamHeaders.notStarted}. */
--- a/src/agent/node/runRequest.ts
+++ b/src/agent/node/runRequest.ts
@@ -4,6 +4,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { describeError } from '../../base/common/errors.js';
 import type { RunEnd } from '../common/agentInputs.js';
+import type { TaskUsage } from '../common/taskTable.js';
 import { refusalStatus, upstreamHeaders } from '../common/upstreamProtocol.js';
 
 /** Characters of a failed task's body that are passed on. */
@@ -23,6 +24,7 @@
 	private _isAbandoned = false;
 	private _status = 0;
 	private _isRefusal = false;
+	private _usage: TaskUsage | undefined;
 	private readonly _chunks: Buffer[] = [];
 	private _bodyBytes = 0;
 
@@ -57,6 +59,7 @@
 	): void {
 		this._status = status;
 		this._isRefusal = status === refusalStatus && headers[upstreamHeaders.notStarted] !== undefined;
+		this._usage = toUsage(headers);
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -91,14 +94,14 @@
 		}
 		if (this._status >= 200 && this._status < 300) {
 			return isJson(body)
-				? { state: 'done', resultJson: body }
+				? { state: 'done', resultJson: body, usage: this._usage }
 				: { state: 'failed', message: 'The upstream answered with a result that is not valid JSON.' };
 		}
 		if (this.isStopAsked) {
 			return { state: 'stopped' };
 		}
 		const message = `The upstream answered with status ${this._status}: ${body.slice(0, maxFailureMessageChars)}`;
-		return { state: 'failed', message };
+		return { state: 'failed', message, usage: this._usage };
 	}
 
 	private _end(end: RunEnd): void {
@@ -110,6 +113,12 @@
 	}
 }
 
+function toUsage(headers: IncomingHttpHeaders): TaskUsage | undefined {
+	const cores = Number(headers[upstreamHeaders.usedCores] ?? NaN);
+	const memoryBytes = Number(headers[upstreamHeaders.usedMemoryBytes] ?? NaN);
+	return cores >= 0 && memoryBytes >= 0 ? { cores, memoryBytes } : undefined;
+}
+
 function isJson(text: string): boolean {
 	try {
 		JSON.parse(text);
--- /dev/null
+++ b/src/agent/test/httpWorkerPlatform.test.ts
@@ -0,0 +1,157 @@
+import test from 'ava';
+import { createServer, type AddressInfo, type Socket } from 'node:net';
+import { Deferred } from '../../base/common/async.js';
+import { DisposableStore, toDisposable } from '../../base/common/disposable.js';
+import { nullLogService } from '../../platform/log/common/log.js';
+import { noNeeds } from '../../protocol/common/jobs.js';
+import type { RunEnd, TaskRun } from '../common/agentInputs.js';
+import { HttpWorkerPlatform } from '../node/httpWorkerPlatform.js';
+
+/** What a raw server does with the request that a connection brought. */
+type Behaviour = (socket: Socket) => void;
+
+interface Bench {
+	readonly platform: HttpWorkerPlatform;
+	readonly store: DisposableStore;
+	/** Request lines that the server has read. */
+	readonly requests: string[];
+	run(runId: number): Promise<RunEnd>;
+}
+
+const okResponse =
+	'HTTP/1.1 200 OK\r\ncontent-length: 2\r\nyuccaarch-used-cores: 1\r\nyuccaarch-used-memory-bytes: 7\r\n\r\n{}';
+
+/** A raw server, so that the test decides what happens to each connection. */
+async function startBench(behaviours: readonly Behaviour[]): Promise<Bench> {
+	const store = new DisposableStore();
+	const requests: string[] = [];
+	const server = createServer((socket) => {
+		store.add(
+			toDisposable(() => {
+				socket.destroy();
+			}),
+		);
+		socket.on('error', () => undefined);
+		socket.on('data', (chunk) => {
+			const [line] = chunk.toString().split('\r\n');
+			const behaviour = behaviours[requests.length];
+			requests.push(line ?? '');
+			behaviour?.(socket);
+		});
+	});
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	store.add(
+		toDisposable(() => {
+			server.close();
+		}),
+	);
+	const platform = store.add(new HttpWorkerPlatform({ maxResultBytes: 1000 }, nullLogService));
+	platform.useUpstream(`127.0.0.1:${(server.address() as AddressInfo).port}`, 4);
+	const run = (runId: number): Promise<RunEnd> => {
+		const ended = new Deferred<RunEnd>();
+		platform.onDidReport((report) => {
+			if (report.kind === 'runEnded' && report.runId === runId) {
+				ended.resolve(report.end);
+			}
+		});
+		platform.start(runOf(runId));
+		return ended.promise;
+	};
+	return { platform, store, requests, run };
+}
+
+function runOf(runId: number): TaskRun {
+	const identity = { submissionId: `job-${runId}`, taskIndex: 0 };
+	return { runId, ...identity, route: 'r', team: 't', needs: noNeeds, payloadJson: '{}', leaseMs: 1000 };
+}
+
+test('a connection that is lost after the request is an unknown end, and the request is not sent again', async (t) => {
+	const { store, requests, run } = await startBench([
+		(socket) => {
+			socket.resetAndDestroy();
+		},
+		(socket) => {
+			socket.end();
+		},
+		(socket) => {
+			socket.write('HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n{', () => {
+				socket.destroy();
+			});
+		},
+		(socket) => {
+			socket.write(okResponse);
+		},
+	]);
+	t.is((await run(1)).state, 'lost');
+	t.is((await run(2)).state, 'lost');
+	t.is((await run(3)).state, 'lost');
+	t.deepEqual(await run(4), { state: 'done', resultJson: '{}', usage: { cores: 1, memoryBytes: 7 } });
+	t.deepEqual(
+		requests,
+		[1, 2, 3, 4].map((id) => `POST /v1/tasks/job-${id}/0 HTTP/1.1`),
+	);
+	store.dispose();
+});
+
+test('a kept connection that the upstream closes meanwhile costs no start', async (t) => {
+	const isClosed = new Deferred<undefined>();
+	const { store, requests, run } = await startBench([
+		(socket) => {
+			socket.end(okResponse);
+			socket.on('close', () => {
+				isClosed.resolve(undefined);
+			});
+		},
+		(socket) => {
+			socket.write(okResponse);
+		},
+	]);
+	t.is((await run(1)).state, 'done');
+	await isClosed.promise;
+	t.is((await run(2)).state, 'done');
+	t.is(requests.length, 2);
+	store.dispose();
+});
+
+test('nobody listening proves that a task has not started', async (t) => {
+	const { platform, store, run } = await startBench([]);
+	const server = createServer();
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const { port } = server.address() as AddressInfo;
+	await new Promise((resolve) => server.close(resolve));
+	platform.useUpstream(`127.0.0.1:${port}`, 4);
+	t.deepEqual(await run(1), { state: 'notStarted', cause: 'unreachable' });
+	store.dispose();
+});
+
+test('a refusal counts only with its header; a plain 503 is a failure', async (t) => {
+	const { store, run } = await startBench([
+		(socket) => {
+			socket.write('HTTP/1.1 503 Busy\r\nyuccaarch-not-started: true\r\ncontent-length: 0\r\n\r\n');
+		},
+		(socket) => {
+			socket.write('HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n');
+		},
+	]);
+	t.deepEqual(await run(1), { state: 'notStarted', cause: 'refused' });
+	t.is((await run(2)).state, 'failed');
+	store.dispose();
+});
+
+test('results that are too large or no JSON are failures', async (t) => {
+	const { store, run } = await startBench([
+		(socket) => {
+			socket.write(`HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n"${'x'.repeat(1998)}"`);
+		},
+		(socket) => {
+			socket.write('HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{');
+		},
+	]);
+	t.regex(JSON.stringify(await run(1)), /larger than 1000 bytes/);
+	t.regex(JSON.stringify(await run(2)), /not valid JSON/);
+	store.dispose();
+});
--- a/src/protocol/common/agentMessages.ts
+++ b/src/protocol/common/agentMessages.ts
@@ -85,6 +85,8 @@
 export interface CancelTasksMessage {
 	readonly kind: 'cancelTasks';
 	readonly revision: number;
+	/** Tasks that the agent never heard of are fenced up to this attempt; for every attempt when absent. */
+	readonly attempt?: number | undefined;
 	readonly tasks: readonly TaskIdentity[];
 }
 
--- a/src/standins/node/standinUpstream.ts
+++ b/src/standins/node/standinUpstream.ts
@@ -134,7 +134,10 @@
 			echo: payload,
 			padding: resultBytes === undefined ? undefined : 'x'.repeat(resultBytes),
 		};
-		return context.json(result);
+		return context.json(result, 200, {
+			'yuccaarch-used-cores': String(task.request.cores ?? 1),
+			'yuccaarch-used-memory-bytes': String(task.request.memoryBytes ?? 0),
+		});
 	}
 
 	private _createTask(identity: TaskIdentity, request: TaskRequest): StandinTask {
