--- a/src/agent/node/agentDaemon.ts
+++ b/src/agent/node/agentDaemon.ts
@@ -5,10 +5,12 @@
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import type { IControlPlane } from '../../control/common/controlPlane.js';
 import type { IDaemon } from '../../platform/daemon/node/daemon.js';
+import type { IMetricsService } from '../../platform/metrics/common/metrics.js';
 import type { ILogService } from '../../platform/log/common/log.js';
 import { defaultConnectionLimits, type PeerIdentity } from '../../platform/transport/common/transport.js';
 import { nextDeadlineMs, runTick } from '../common/agentCore.js';
 import type { AgentInput, AgentOutput } from '../common/agentInputs.js';
+import { AgentMetrics } from '../common/agentMetrics.js';
 import type { AgentSettings } from '../common/agentSettings.js';
 import { AgentTables, type PublishedState } from '../common/agentTables.js';
 import type { Announcement } from '../common/announcement.js';
@@ -19,6 +21,8 @@
 /** Time that a drain waits for entries to acknowledge the last outcomes. */
 const drainAcknowledgeMs = 2000;
 const drainPollMs = 20;
+/** Time between reports of levels to the metrics. */
+const levelsIntervalMs = 10_000;
 /** Longest time for which a timer is set. */
 const maxTimerMs = 60_000;
 
@@ -29,12 +33,14 @@
 	readonly platform: WorkerPlatform;
 	readonly clock: IClock;
 	readonly log: ILogService;
+	readonly metrics: IMetricsService;
 }
 
 /** A running agent. */
 export class AgentDaemon extends Disposable implements IDaemon, IUpstreamStatusSource {
 	private readonly _tables: AgentTables;
 	private readonly _links: EntryLinks;
+	private readonly _metrics: AgentMetrics;
 	private _inputs: AgentInput[] = [];
 	private _isTickScheduled = false;
 	private _timer: NodeJS.Timeout | undefined;
@@ -50,11 +56,16 @@
 		this._register(controlPlane);
 		this._register(platform);
 		this._tables = new AgentTables({ ...settings, incarnation: identity.incarnation });
+		this._metrics = new AgentMetrics(_services.metrics, this._tables);
 		const connection = { identity, secret: settings.sharedSecret, limits: defaultConnectionLimits };
 		this._links = this._register(new EntryLinks(connection, log));
+		const levelsTimer = setInterval(() => {
+			this._metrics.sendLevels();
+		}, levelsIntervalMs);
 		this._register(
 			toDisposable(() => {
 				clearTimeout(this._timer);
+				clearInterval(levelsTimer);
 			}),
 		);
 		this._listen();
@@ -180,9 +191,11 @@
 		const inputs = this._inputs;
 		this._inputs = [];
 		const nowMs = this._services.clock.nowMs();
-		for (const output of runTick(this._tables, inputs, nowMs)) {
+		const outputs = runTick(this._tables, inputs, nowMs);
+		for (const output of outputs) {
 			this._execute(output);
 		}
+		this._metrics.observe(outputs);
 		this._publishStatus();
 		this._setTimer(nowMs);
 	}
--- a/src/agent/test/httpWorkerPlatform.test.ts
+++ b/src/agent/test/httpWorkerPlatform.test.ts
@@ -15,7 +15,7 @@
 	readonly store: DisposableStore;
 	/** Request lines that the server has read. */
 	readonly requests: string[];
-	run(runId: number): Promise<RunEnd>;
+	readonly run: (runId: number) => Promise<RunEnd>;
 }
 
 const okResponse =
--- a/src/code/node/commands/agentCommand.ts
+++ b/src/code/node/commands/agentCommand.ts
@@ -9,6 +9,7 @@
 import { ControlPlaneClient } from '../../../control/node/controlPlaneClient.js';
 import { reportSettingsError, runDaemon } from '../../../platform/daemon/node/daemon.js';
 import { ConsolaLogService } from '../../../platform/log/node/consolaLogService.js';
+import { createMetricsService } from '../../../platform/metrics/node/statsdMetricsService.js';
 import type { ILogService } from '../../../platform/log/common/log.js';
 import { loadSettings } from '../../../platform/settings/node/loadSettings.js';
 import type { PeerIdentity } from '../../../platform/transport/common/transport.js';
@@ -49,5 +50,6 @@
 		platform: new HttpWorkerPlatform({ maxResultBytes }, log),
 		clock: monotonicClock,
 		log,
+		metrics: createMetricsService(settings.metrics, { role: 'agent', instance: settings.processId }),
 	});
 }
--- a/src/platform/log/node/consolaLogService.ts
+++ b/src/platform/log/node/consolaLogService.ts
@@ -1,7 +1,8 @@
-/** Log service on consola: JSON lines, or a readable form on a terminal. */
+/** Log service on consola: JSON lines, or a readable form on a terminal. Storms of equal events are counted. */
 
 import { createConsola, type ConsolaInstance, type ConsolaReporter, type LogObject } from 'consola';
 import type { ILogService, LogFields, LogLevel } from '../common/log.js';
+import { StormCounter, defaultStormLimits, type StormLimits } from '../common/stormCounter.js';
 
 /** What each line says about its process. */
 export interface LogSource {
@@ -15,13 +16,16 @@
 	readonly format: 'json' | 'text';
 	/** Takes a line without its end; standard error by default, so that a command's output stays clean. */
 	readonly write?: (line: string) => void;
+	/** When equal events are counted and not written. */
+	readonly storm?: StormLimits;
 }
 
 /** consola's numbers for levels. */
 const consolaLevels: Readonly<Record<LogLevel, number>> = { error: 0, warn: 1, info: 3, debug: 4 };
 
 /**
- * Writes events through consola.
+ * Writes events through consola. An event that equals one of the last seconds is counted; when the window ends, it is
+ * written once more with the count as `suppressed`. Events of level `debug` are never counted.
  *
  * @example
  * const log = new ConsolaLogService({ role: 'entry', instance: 'entry-1' }, { level: 'info', format: 'json' });
@@ -30,6 +34,9 @@
 export class ConsolaLogService implements ILogService {
 	private readonly _consola: ConsolaInstance;
 	private readonly _write: (line: string) => void;
+	private readonly _stormLimits: StormLimits;
+	private readonly _storms: StormCounter;
+	private _windowTimer: NodeJS.Timeout | undefined;
 
 	constructor(
 		private readonly _source: LogSource,
@@ -40,6 +47,8 @@
 			((line) => {
 				process.stderr.write(`${line}\n`);
 			});
+		this._stormLimits = _options.storm ?? defaultStormLimits;
+		this._storms = new StormCounter(this._stormLimits);
 		const reporter: ConsolaReporter = {
 			log: (entry) => {
 				this._report(entry);
@@ -57,15 +66,44 @@
 	}
 
 	info(event: string, fields?: LogFields): void {
-		this._consola.info(event, fields ?? {});
+		this._logOnce('info', event, fields ?? {});
 	}
 
 	warn(event: string, fields?: LogFields): void {
-		this._consola.warn(event, fields ?? {});
+		this._logOnce('warn', event, fields ?? {});
 	}
 
 	error(event: string, fields?: LogFields): void {
-		this._consola.error(event, fields ?? {});
+		this._logOnce('error', event, fields ?? {});
+	}
+
+	private _logOnce(level: Exclude<LogLevel, 'debug'>, event: string, fields: LogFields): void {
+		const isWanted = consolaLevels[level] <= consolaLevels[this._options.level];
+		if (isWanted && this._storms.take(level, event, fields)) {
+			this._consola[level](event, fields);
+		}
+		if (isWanted) {
+			this._endWindowLater();
+		}
+	}
+
+	private _endWindowLater(): void {
+		if (this._windowTimer !== undefined) {
+			return;
+		}
+		this._windowTimer = setTimeout(() => {
+			this._windowTimer = undefined;
+			this._endWindow();
+		}, this._stormLimits.windowMs);
+		// A process that has nothing else to do must not wait for its log.
+		this._windowTimer.unref();
+	}
+
+	private _endWindow(): void {
+		const { windowMs } = this._stormLimits;
+		for (const { level, event, fields, suppressed } of this._storms.endWindow()) {
+			this._consola[level](event, { ...fields, suppressed, windowMs });
+		}
 	}
 
 	private _report(entry: LogObject): void {
