Test the keeper's state, membership and the subscriber's copy of the state

Change: unit and property tests. The first version of the claim property passed with the owner check taken out, because its cases were too short; they are longer now, and catch it. Its first model let an owner run on an answer that it had given up; the model was wrong, not the store.

--- /dev/null
+++ b/src/keeper/common/test/keeperState.test.ts
@@ -0,0 +1,278 @@
+import test from 'ava';
+import fc from 'fast-check';
+import type { PoolRow, RouteRow, TableEdit } from '../../../declarations/common/tables.js';
+import type { ChangeRequest, ChangeResult } from '../../../protocol/common/operatorApi.js';
+import { ClaimStore } from '../claimStore.js';
+import type { KeeperCommand } from '../keeperCommands.js';
+import { KeeperStateMachine } from '../keeperStateMachine.js';
+import { TableStore } from '../tableStore.js';
+
+const ledger: PoolRow = {
+	name: 'ledger',
+	maxQueuedTasks: 10,
+	retryBudgetShare: 0.1,
+	maxEjectedShare: 0.3,
+	spareStartsPerWorker: 1,
+};
+
+const lookup: RouteRow = {
+	name: 'lookup',
+	pool: 'ledger',
+	defaultDeadlineMs: 1000,
+	maxDeadlineMs: 2000,
+	maxTasksPerJob: 10,
+	maxConcurrentTasks: 10,
+	repeatable: true,
+	objectives: { answeredWithinMs: 500, answeredWithinShare: 0.99, answeredWholeShare: 0.99 },
+};
+
+const putPool: TableEdit = { action: 'put', table: 'pools', row: ledger };
+const putRoute: TableEdit = { action: 'put', table: 'routes', row: lookup };
+
+function drain(name: string): TableEdit {
+	return { action: 'put', table: 'drains', row: { name } };
+}
+
+function request(requestId: string, expectedRevision: number, ...edits: TableEdit[]): ChangeRequest {
+	return { requestId, expectedRevision, author: `author of ${requestId}`, edits };
+}
+
+function change(target: TableStore, asked: ChangeRequest): ChangeResult {
+	return target.change(asked, '2026-01-01T00:00:00Z');
+}
+
+test('of two operators with equal numbers one wins, and the other is told who changed what', (t) => {
+	const store = new TableStore();
+	t.deepEqual(change(store, request('r1', 0, putPool)), { outcome: 'accepted', revision: 1 });
+	t.deepEqual(change(store, request('r2', 0, drain('agent-1'))), {
+		outcome: 'conflict',
+		presentRevision: 1,
+		changesSince: [
+			{
+				revision: 1,
+				requestId: 'r1',
+				author: 'author of r1',
+				acceptedAt: '2026-01-01T00:00:00Z',
+				rows: ['pools/ledger'],
+			},
+		],
+	});
+	t.is(store.tables.drains.length, 0);
+});
+
+test('a resent request gets the first result, also after other changes and through a snapshot', (t) => {
+	const store = new TableStore();
+	const first = change(store, request('r1', 0, putPool));
+	const conflict = change(store, request('r2', 0, drain('agent-1')));
+	change(store, request('r3', 1, drain('agent-2')));
+	const restored = new TableStore();
+	restored.restore(structuredClone(store.snapshot()));
+	for (const target of [store, restored]) {
+		t.deepEqual(change(target, request('r1', 0, putPool)), first);
+		t.deepEqual(change(target, request('r2', 0, drain('agent-1'))), conflict);
+		t.is(target.tables.revision, 2);
+	}
+});
+
+test('a request id that comes again with other edits changes nothing', (t) => {
+	const store = new TableStore();
+	change(store, request('r1', 0, putPool));
+	const result = change(store, request('r1', 1, drain('agent-1')));
+	t.deepEqual(result, { outcome: 'requestIdReused', presentRevision: 1 });
+	t.is(store.tables.revision, 1);
+});
+
+test('a route without its pool is refused with both names, and so is the deletion of a pool in use', (t) => {
+	const store = new TableStore();
+	const orphan = change(store, request('r1', 0, putRoute));
+	t.is(orphan.outcome, 'refused');
+	t.regex(JSON.stringify(orphan), /lookup.*ledger/);
+	change(store, request('r2', 0, putRoute, putPool));
+	const deletion = change(store, request('r3', 1, { action: 'delete', table: 'pools', name: 'ledger' }));
+	t.is(deletion.outcome, 'refused');
+	t.regex(JSON.stringify(deletion), /lookup.*ledger/);
+	t.is(store.tables.revision, 1);
+});
+
+test('history and results are bounded, and deltas are given only without gaps', (t) => {
+	const store = new TableStore({ maxHistoryChanges: 5, maxRequestResults: 3 });
+	for (let revision = 0; revision < 10; revision += 1) {
+		change(store, request(`r${revision}`, revision, drain(`agent-${revision}`)));
+	}
+	t.deepEqual(
+		store.history.map((entry) => entry.revision),
+		[6, 7, 8, 9, 10],
+	);
+	t.is(store.snapshot().requests.length, 3);
+	t.deepEqual(
+		store.deltasSince(7, 100)?.map((delta) => delta.revision),
+		[8, 9, 10],
+	);
+	t.is(store.deltasSince(4, 100), undefined, 'a change is no longer kept');
+	t.is(store.deltasSince(7, 2), undefined, 'a snapshot is shorter');
+	t.is(store.deltasSince(11, 100), undefined, 'the subscriber is ahead');
+	t.deepEqual(store.deltasSince(10, 100), []);
+});
+
+const names = fc.constantFrom('a', 'b', 'c');
+const claimRequests = fc.record({
+	submissionId: names,
+	ownerId: names,
+	ownerIncarnation: fc.constant('1'),
+	claimNumber: fc.integer({ min: 1, max: 4 }),
+});
+const commands: fc.Arbitrary<KeeperCommand> = fc.oneof(
+	fc.record({ kind: fc.constant('beginHistory' as const), historyId: fc.constantFrom('h1', 'h2') }),
+	fc.record({
+		kind: fc.constant('changeTables' as const),
+		acceptedAt: fc.constant('2026-01-01T00:00:00Z'),
+		request: fc.record({
+			requestId: fc.constantFrom('r1', 'r2', 'r3', 'r4', 'r5'),
+			expectedRevision: fc.integer({ min: 0, max: 4 }),
+			author: names,
+			edits: fc.array(fc.oneof(names.map(drain), fc.constant(putPool), fc.constant(putRoute)), {
+				minLength: 1,
+				maxLength: 3,
+			}),
+		}),
+	}),
+	fc.record({
+		kind: fc.constant('recordClaims' as const),
+		claims: fc.array(claimRequests),
+		releases: fc.array(claimRequests),
+	}),
+	fc.record({
+		kind: fc.constant('advanceTime' as const),
+		fromMs: fc.integer({ min: 0, max: 3 }),
+		toMs: fc.integer({ min: 0, max: 4 }),
+		claimRetentionMs: fc.constant(2),
+	}),
+);
+
+test('a keeper that restarts from a snapshot decides and stores the same as one that never stopped', (t) => {
+	fc.assert(
+		fc.property(fc.array(fc.tuple(commands, fc.boolean()), { maxLength: 30, size: 'max' }), (steps) => {
+			const steady = new KeeperStateMachine();
+			let restarted = new KeeperStateMachine();
+			for (const [command, restarts] of steps) {
+				const result = steady.execute(command);
+				t.deepEqual(restarted.execute(command), result);
+				if (restarts) {
+					const snapshot = restarted.encodeSnapshot();
+					restarted = new KeeperStateMachine();
+					restarted.restoreSnapshot(snapshot);
+				}
+			}
+			t.deepEqual(restarted.encodeSnapshot(), steady.encodeSnapshot());
+		}),
+		{ seed: 4, numRuns: 300 },
+	);
+});
+
+test('claims end with their retention by the log time alone', (t) => {
+	const machine = new KeeperStateMachine();
+	const claim = (submissionId: string): void => {
+		const claims = [{ submissionId, ownerId: 'entry-1', ownerIncarnation: '1' }];
+		machine.execute({ kind: 'recordClaims', claims, releases: [] });
+	};
+	const advance = (fromMs: number, toMs: number): void => {
+		machine.execute({ kind: 'advanceTime', fromMs, toMs, claimRetentionMs: 100 });
+	};
+	claim('s1');
+	advance(0, 60);
+	claim('s2');
+	advance(0, 500);
+	t.is(machine.logTimeMs, 60, 'a step of a former leader does not count');
+	advance(60, 100);
+	t.is(machine.claimCount, 2);
+	advance(100, 101);
+	t.is(machine.claimCount, 1);
+});
+
+test('the directory changes only under its present epoch', (t) => {
+	const machine = new KeeperStateMachine();
+	const entry = { incarnation: '1', peerAddress: '127.0.0.1:1', dataCentre: 'dc-1', isDraining: false };
+	const entries = [{ ...entry, processId: 'entry-1' }];
+	machine.execute({ kind: 'setDirectory', expectedEpoch: 0, entries: [] });
+	machine.execute({ kind: 'setDirectory', expectedEpoch: 1, entries });
+	machine.execute({ kind: 'setDirectory', expectedEpoch: 0, entries: [] });
+	t.deepEqual(machine.directory, { epoch: 2, entries });
+});
+
+/** A message of an owner's claim or release, which may arrive late, twice and out of order. */
+interface ClaimMessage {
+	readonly isRelease: boolean;
+	readonly ownerId: string;
+	readonly claimNumber: number;
+}
+
+test('no order of late, doubled and crossed claims and releases lets two owners run a submission', (t) => {
+	const step = fc.record({
+		action: fc.constantFrom('claim', 'release', 'deliver'),
+		ownerId: fc.constantFrom('entry-1', 'entry-2'),
+		pick: fc.nat(30),
+		isKept: fc.boolean(),
+	});
+	fc.assert(
+		fc.property(fc.array(step, { maxLength: 60, size: 'max' }), (steps) => {
+			const store = new ClaimStore();
+			const network: ClaimMessage[] = [];
+			const lastNumber = new Map<string, number>();
+			/** Claims that wait for their answer, by owner. */
+			const waiting = new Map<string, number>();
+			/** Owners that were granted the submission and have not released it. */
+			const running = new Set<string>();
+			for (const { action, ownerId, pick, isKept } of steps) {
+				const number = lastNumber.get(ownerId) ?? 0;
+				if (action === 'claim') {
+					lastNumber.set(ownerId, number + 1);
+					waiting.set(ownerId, number + 1);
+					network.push({ isRelease: false, ownerId, claimNumber: number + 1 });
+				} else if (action === 'release') {
+					running.delete(ownerId);
+					waiting.delete(ownerId);
+					network.push({ isRelease: true, ownerId, claimNumber: number });
+				} else if (network.length > 0) {
+					const index = pick % network.length;
+					const message = network[index]!;
+					if (!isKept) {
+						network.splice(index, 1);
+					}
+					deliver(store, message, waiting, running);
+				}
+				t.true(running.size <= 1);
+			}
+		}),
+		{ seed: 4, numRuns: 5000 },
+	);
+});
+
+function deliver(
+	store: ClaimStore,
+	message: ClaimMessage,
+	waiting: Map<string, number>,
+	running: Set<string>,
+): void {
+	const { ownerId, claimNumber } = message;
+	const claim = { submissionId: 's1', ownerId, ownerIncarnation: '1', claimNumber };
+	if (message.isRelease) {
+		store.release(claim);
+		return;
+	}
+	const outcome = store.claim(claim, 0);
+	if (waiting.get(ownerId) !== claimNumber) {
+		return;
+	}
+	waiting.delete(ownerId);
+	if (outcome === 'granted') {
+		running.add(ownerId);
+	}
+}
+
+test('a full claim store grants nothing more, and forgets nothing', (t) => {
+	const store = new ClaimStore(1);
+	const claimOf = (submissionId: string) => ({ submissionId, ownerId: 'entry-1', ownerIncarnation: '1' });
+	t.is(store.claim(claimOf('s1'), 0), 'granted');
+	t.is(store.claim(claimOf('s2'), 0), 'unknown');
+	t.is(store.claim(claimOf('s1'), 0), 'granted');
+});
--- /dev/null
+++ b/src/keeper/common/test/membership.test.ts
@@ -0,0 +1,135 @@
+import test from 'ava';
+import type { EntryMember, MemberStatus } from '../../../protocol/common/keeperMessages.js';
+import { planDirectory } from '../directoryPlan.js';
+import { memberMemoryMs, MemberRegistry, type KnownProcess, type MemberRecord } from '../memberRegistry.js';
+import { heardWithinMs, ReportWriter } from '../reportWriter.js';
+
+const leaseMs = 1500;
+const status: MemberStatus = {
+	peerAddress: '127.0.0.1:1',
+	dataCentre: 'dc-1',
+	rack: 'rack-1',
+	isDraining: false,
+	revisionInForce: 0,
+};
+
+function record(overrides: Partial<MemberRecord> = {}): MemberRecord {
+	return {
+		processId: 'entry-1',
+		role: 'entry',
+		incarnation: '1',
+		keeperId: 'keeper-1',
+		subscribedAtMs: 0,
+		heardAtMs: 0,
+		hasLeft: false,
+		status,
+		...overrides,
+	};
+}
+
+function member(overrides: Partial<EntryMember> = {}): EntryMember {
+	return {
+		processId: 'entry-1',
+		incarnation: '1',
+		peerAddress: '127.0.0.1:1',
+		dataCentre: 'dc-1',
+		isDraining: false,
+		...overrides,
+	};
+}
+
+function plan(
+	entries: readonly EntryMember[],
+	processes: readonly KnownProcess[],
+	mayRemove = true,
+	drains: readonly string[] = [],
+): readonly EntryMember[] | undefined {
+	const drainRows = drains.map((name) => ({ name }));
+	return planDirectory({ directory: { epoch: 3, entries }, processes, drains: drainRows, mayRemove });
+}
+
+test('a live entry joins, and its new run takes the place of its old one', (t) => {
+	t.deepEqual(plan([], [{ ...record(), isLive: true }]), [member()]);
+	const restarted = { ...record({ incarnation: '2' }), isLive: true };
+	t.deepEqual(plan([member()], [restarted]), [member({ incarnation: '2' })]);
+	t.is(plan([member()], [{ ...record(), isLive: true }]), undefined);
+});
+
+test('an entry without a sign of life is removed only after everyone has had the time to report', (t) => {
+	t.is(plan([member()], [], false), undefined);
+	t.is(plan([member()], [{ ...record(), isLive: false }], false), undefined);
+	t.deepEqual(plan([member()], [], true), []);
+	t.deepEqual(plan([member()], [{ ...record(), isLive: false }], true), []);
+});
+
+test('an entry that said farewell is removed at once, but not its next run', (t) => {
+	const gone = { ...record({ hasLeft: true }), isLive: false };
+	t.deepEqual(plan([member()], [gone], false), []);
+	t.is(plan([member({ incarnation: '2' })], [gone], false), undefined);
+});
+
+test('a drained entry is named as draining, also while it is silent, and taken back with the drain', (t) => {
+	const live = { ...record(), isLive: true };
+	t.deepEqual(plan([member()], [live], true, ['entry-1']), [member({ isDraining: true })]);
+	t.deepEqual(plan([member()], [], false, ['entry-1']), [member({ isDraining: true })]);
+	t.deepEqual(plan([member({ isDraining: true })], [live]), [member()]);
+});
+
+test('agents and entries without an address are not named', (t) => {
+	const agent = { ...record({ role: 'agent' }), isLive: true };
+	const nowhere = { ...record({ status: { ...status, peerAddress: undefined } }), isLive: true };
+	t.is(plan([], [agent]), undefined);
+	t.is(plan([], [nowhere]), undefined);
+});
+
+test('of two keepers that know a process the later subscription counts', (t) => {
+	const registry = new MemberRegistry();
+	registry.put(record({ keeperId: 'keeper-2', incarnation: '2', subscribedAtMs: 50, heardAtMs: 60 }));
+	registry.put(record({ keeperId: 'keeper-1', incarnation: '1', subscribedAtMs: 0, heardAtMs: 100 }));
+	const [known] = registry.processes(100, leaseMs);
+	t.is(known?.incarnation, '2');
+});
+
+test('a process that moved is as live as the keeper that heard it last says', (t) => {
+	const registry = new MemberRegistry();
+	registry.put(record({ keeperId: 'keeper-1', subscribedAtMs: 0, heardAtMs: 5000 }));
+	registry.put(record({ keeperId: 'keeper-2', subscribedAtMs: 50, heardAtMs: 50 }));
+	t.true(registry.processes(5100, leaseMs)[0]?.isLive);
+	registry.put(record({ keeperId: 'keeper-1', subscribedAtMs: 0, heardAtMs: 5000, hasLeft: true }));
+	t.false(registry.processes(5100, leaseMs)[0]?.isLive, 'a farewell to any keeper counts');
+});
+
+test('a lease ends, and the process is remembered for as long as it may work with older tables', (t) => {
+	const registry = new MemberRegistry();
+	registry.put(record());
+	t.true(registry.processes(leaseMs, leaseMs)[0]?.isLive);
+	t.false(registry.processes(leaseMs + 1, leaseMs)[0]?.isLive);
+	registry.prune(memberMemoryMs);
+	t.is(registry.processes(memberMemoryMs, leaseMs).length, 1);
+	registry.prune(memberMemoryMs + 1);
+	t.is(registry.processes(memberMemoryMs + 1, leaseMs).length, 0);
+});
+
+test('reports name what has changed, and keep alive what they do not name', (t) => {
+	const own = new MemberRegistry();
+	const other = new MemberRegistry();
+	const writer = new ReportWriter();
+	// The clocks of the two keepers have nothing in common.
+	const offsetMs = 1_000_000;
+	const exchange = (nowMs: number) => {
+		const report = writer.write(own.recordsOf('keeper-1'), nowMs);
+		other.takeReport('keeper-1', report, nowMs + offsetMs);
+		return report;
+	};
+	own.put(record({ heardAtMs: 0 }));
+	t.is(exchange(10).members.length, 1);
+	own.put({ ...own.get('keeper-1', 'entry-1')!, heardAtMs: 2000 });
+	const quiet = exchange(2000 + heardWithinMs);
+	t.deepEqual([quiet.members, quiet.silent], [[], []]);
+	t.is(other.get('keeper-1', 'entry-1')?.heardAtMs, 2000 + offsetMs);
+	const silent = exchange(2000 + heardWithinMs + 1);
+	t.deepEqual(silent.silent, [{ processId: 'entry-1', heardAgoMs: heardWithinMs + 1 }]);
+	t.is(other.get('keeper-1', 'entry-1')?.heardAtMs, 2000 + offsetMs, 'silence renews no lease');
+	own.put({ ...own.get('keeper-1', 'entry-1')!, status: { ...status, revisionInForce: 7 } });
+	t.is(exchange(3000).members[0]?.status.revisionInForce, 7);
+});
