--- a/src/code/node/commands/keeperCommand.ts
+++ b/src/code/node/commands/keeperCommand.ts
@@ -5,7 +5,7 @@
 import { monotonicClock } from '../../../base/common/clock.js';
 import { keeperSettingsSchema, type KeeperSettings } from '../../../keeper/common/keeperSettings.js';
 import { KeeperDaemon, type OpenKeeperLog } from '../../../keeper/node/keeperDaemon.js';
-import { reportSettingsError, runDaemon } from '../../../platform/daemon/node/daemon.js';
+import { exitCodes, reportSettingsError, runDaemon } from '../../../platform/daemon/node/daemon.js';
 import type { ILogService } from '../../../platform/log/common/log.js';
 import { ConsolaLogService } from '../../../platform/log/node/consolaLogService.js';
 import { loadSettings } from '../../../platform/settings/node/loadSettings.js';
@@ -45,6 +45,13 @@
 				events: log,
 				openLog: createOpenLog(settings, identity, log),
 			});
+			keeper.onDidStop(() => {
+				// What is not synced must not be served: the process ends instead of carrying on.
+				log.error('keeper.stopped', {
+					remedy: 'See the event before this one, mend its cause, and start again.',
+				});
+				process.exit(exitCodes.failed);
+			});
 			const { peerAddress, operatorAddress } = keeper;
 			log.info('process.ready', { peerAddress, operatorAddress });
 			return keeper;
--- a/src/control/common/pendingClaims.ts
+++ b/src/control/common/pendingClaims.ts
@@ -5,7 +5,6 @@
 	ClaimAnswersMessage,
 	ClaimOutcome,
 	ClaimRequest,
-	ReleaseAnswer,
 } from '../../protocol/common/keeperMessages.js';
 
 /** Releases that are kept for sending again; beyond it the oldest is dropped, and its claim ends with its retention. */
@@ -18,33 +17,38 @@
 	isSent: boolean;
 }
 
-/** Numbers claims, so that a release takes back no claim but its own. */
+/** A release that is not recorded yet. */
+interface PendingRelease {
+	readonly request: ClaimRequest;
+	isSent: boolean;
+}
+
+/** Numbers claims and releases in their order, so that a release takes back no claim that comes after it. */
 export class PendingClaims {
 	private readonly _claims = new Map<number, PendingClaim>();
-	private readonly _releases = new Map<string, ClaimRequest>();
+	private readonly _releases = new Map<number, PendingRelease>();
 	private _nextNumber = 1;
 
 	/** Adds a claim and returns its number and outcome. */
 	claim(request: ClaimRequest): { readonly claimNumber: number; readonly outcome: Promise<ClaimOutcome> } {
-		const claimNumber = this._nextNumber;
-		this._nextNumber += 1;
+		const claimNumber = this._takeNumber();
 		const outcome = new Deferred<ClaimOutcome>();
 		this._claims.set(claimNumber, { request: { ...request, claimNumber }, outcome, isSent: false });
 		return { claimNumber, outcome: outcome.promise };
 	}
 
 	/**
-	 * Adds a release of every claim that this process has made of the submission so far. A claim that is still
-	 * waiting ends as `unknown`.
+	 * Adds a release of every claim that the owner has made of the submission so far. A claim that is still waiting
+	 * ends as `unknown`.
 	 */
 	release(request: ClaimRequest): void {
-		const claimNumber = this._nextNumber - 1;
+		const claimNumber = this._takeNumber();
 		for (const [number, claim] of [...this._claims]) {
-			if (claim.request.submissionId === request.submissionId) {
+			if (isSameClaim(claim.request, request)) {
 				this.giveUp(number);
 			}
 		}
-		this._releases.set(request.submissionId, { ...request, claimNumber });
+		this._releases.set(claimNumber, { request: { ...request, claimNumber }, isSent: false });
 		const [oldest] = this._releases.keys();
 		if (this._releases.size > maxReleases && oldest !== undefined) {
 			this._releases.delete(oldest);
@@ -59,22 +63,18 @@
 
 	/** Claims that were not sent on the present connection; they count as sent afterwards. */
 	takeUnsentClaims(): ClaimRequest[] {
-		const unsent = [...this._claims.values()].filter((claim) => !claim.isSent);
-		for (const claim of unsent) {
-			claim.isSent = true;
-		}
-		return unsent.map((claim) => claim.request);
+		return takeUnsent(this._claims.values());
 	}
 
-	/** Releases that are not recorded yet. */
-	get releases(): readonly ClaimRequest[] {
-		return [...this._releases.values()];
+	/** Releases that were not sent on the present connection; they count as sent afterwards. */
+	takeUnsentReleases(): ClaimRequest[] {
+		return takeUnsent(this._releases.values());
 	}
 
 	/** Notes that the connection is new: everything must be sent again. */
 	resetSent(): void {
-		for (const claim of this._claims.values()) {
-			claim.isSent = false;
+		for (const pending of [...this._claims.values(), ...this._releases.values()]) {
+			pending.isSent = false;
 		}
 	}
 
@@ -95,7 +95,7 @@
 			claim.outcome.resolve(answer.outcome);
 		}
 		for (const release of released) {
-			this._forgetRelease(release);
+			this._releases.delete(release.claimNumber ?? 0);
 		}
 		return mustRetry;
 	}
@@ -107,9 +107,23 @@
 		}
 	}
 
-	private _forgetRelease({ submissionId, claimNumber }: ReleaseAnswer): void {
-		if (this._releases.get(submissionId)?.claimNumber === claimNumber) {
-			this._releases.delete(submissionId);
-		}
+	private _takeNumber(): number {
+		const number = this._nextNumber;
+		this._nextNumber += 1;
+		return number;
+	}
+}
+
+function takeUnsent(pending: Iterable<PendingClaim | PendingRelease>): ClaimRequest[] {
+	const unsent = [...pending].filter((member) => !member.isSent);
+	for (const member of unsent) {
+		member.isSent = true;
 	}
+	return unsent.map((member) => member.request);
+}
+
+function isSameClaim(a: ClaimRequest, b: ClaimRequest): boolean {
+	return (
+		a.submissionId === b.submissionId && a.ownerId === b.ownerId && a.ownerIncarnation === b.ownerIncarnation
+	);
 }
--- a/src/control/node/controlPlaneClient.ts
+++ b/src/control/node/controlPlaneClient.ts
@@ -141,7 +141,7 @@
 
 	releaseClaim(request: ClaimRequest): void {
 		this._claims.release(request);
-		this._send({ kind: 'releaseClaims', claims: this._claims.releases });
+		this._flushSoon();
 	}
 
 	/** Tells the keepers that this process stops, so that they need not wait for its lease to end. */
@@ -362,7 +362,7 @@
 		if (this._connector?.connection === undefined) {
 			return;
 		}
-		const { releases } = this._claims;
+		const releases = this._claims.takeUnsentReleases();
 		const claims = this._claims.takeUnsentClaims();
 		if (releases.length > 0) {
 			this._send({ kind: 'releaseClaims', claims: releases });
--- a/src/keeper/node/keeperDaemon.ts
+++ b/src/keeper/node/keeperDaemon.ts
@@ -2,6 +2,7 @@
 
 import { monotonicClock, type IClock } from '../../base/common/clock.js';
 import { Disposable } from '../../base/common/disposable.js';
+import { Emitter } from '../../base/common/event.js';
 import type { IDaemon } from '../../platform/daemon/node/daemon.js';
 import type { ILogService } from '../../platform/log/common/log.js';
 import {
@@ -54,6 +55,10 @@
 
 /** A running keeper. */
 export class KeeperDaemon extends Disposable implements IDaemon {
+	private readonly _onDidStop = this._register(new Emitter<undefined>());
+	/** Fires when the log can't go on, such as after a failed write; the process must end. */
+	readonly onDidStop = this._onDidStop.event;
+
 	private readonly _registry = new MemberRegistry();
 	private readonly _startedAtMs: number;
 	private readonly _startedEmpty: boolean;
@@ -219,6 +224,9 @@
 		this._register(
 			this._log.onDidChangeStatus(({ role, term, leaderId }) => {
 				events.info('keeper.roleChanged', { replicaRole: role, term, leaderId });
+				if (role === 'stopped') {
+					this._onDidStop.fire(undefined);
+				}
 			}),
 		);
 		const timer = setInterval(() => {
