--- a/src/agent/test/agentHarness.ts
+++ b/src/agent/test/agentHarness.ts
@@ -236,6 +236,11 @@
 		return harness;
 	}
 
+	/** Address that the agent takes announcements on. */
+	get announceAddress(): string {
+		return this._announceAddress;
+	}
+
 	publishEntries(epoch: number, entries: readonly FakeEntry[]): void {
 		const members = entries.map(({ processId, address }) => ({
 			processId,
