--- a/src/protocol/common/agentMessages.ts
+++ b/src/protocol/common/agentMessages.ts
@@ -35,7 +35,10 @@
 	readonly isLeaving: boolean;
 	/** Highest epoch of a home entry that the agent has obeyed. */
 	readonly epoch: number;
-	/** Tasks that are queued, running or remembered; sent only in the first message of a connection. */
+	/**
+	 * Tasks that are queued, running, or ended with an outcome that was not acknowledged; sent only in the first
+	 * message of a connection. Identities that are merely remembered are left out; `fenceTasks` asks for those.
+	 */
 	readonly knownTasks: readonly KnownTask[];
 }
 
@@ -43,6 +46,12 @@
 export interface TaskStart {
 	readonly taskIndex: number;
 	readonly payloadJson: string;
+	/**
+	 * Counts the placements of the task; 0 when absent. A task that an agent answered `notStarted` is fenced there up
+	 * to this number: only a start with a greater one may run it there. A home derives the number from its epoch
+	 * (such as `epoch * 2 ** 20 + placement`), so that an earlier home can never exceed a later one.
+	 */
+	readonly attempt?: number | undefined;
 }
 
 /** Tasks of one submission to start. */
@@ -64,6 +73,11 @@
 	readonly revision: number;
 	/** Epoch under which the sender is the pool's home; an agent that knows a later one refuses. */
 	readonly epoch: number;
+	/**
+	 * Greatest possible age of the sender's tables. When both it and the agent's own exceed the agent's limit, neither
+	 * would know of a drain, and the agent refuses. Absent: the sender vouches for its own freshness.
+	 */
+	readonly ageMs?: number | undefined;
 	readonly batches: readonly StartBatch[];
 }
 
@@ -71,18 +85,33 @@
 export interface CancelTasksMessage {
 	readonly kind: 'cancelTasks';
 	readonly revision: number;
+	/** Tasks that the agent never heard of are fenced up to this attempt; for every attempt when absent. */
+	readonly attempt?: number | undefined;
 	readonly tasks: readonly TaskIdentity[];
 }
 
-/** Asks an agent what became of tasks whose starts may be lost; it fences those that it never heard of. */
+/**
+ * Asks an agent what became of tasks whose starts may be lost. It fences those that it never heard of and those
+ * that are still queued, answers with what is known of ended ones, and answers running ones when they end.
+ */
 export interface FenceTasksMessage {
 	readonly kind: 'fenceTasks';
 	readonly revision: number;
 	readonly epoch: number;
+	/**
+	 * Incarnation of the agent that the starts were sent to. An agent of another incarnation has no memory of them
+	 * and answers `unknown` for those that it never heard of. Absent: this incarnation.
+	 */
+	readonly agentIncarnation?: string | undefined;
+	/** Fences attempts up to this one; every attempt when absent. */
+	readonly attempt?: number | undefined;
 	readonly tasks: readonly TaskIdentity[];
 }
 
-/** Tells an agent which outcomes have arrived, so that it may forget the results (not the identities). */
+/**
+ * Tells an agent which outcomes have arrived, so that it may forget the results (not the identities). To be sent
+ * before a greater attempt of the same task.
+ */
 export interface AcknowledgeOutcomesMessage {
 	readonly kind: 'acknowledgeOutcomes';
 	readonly revision: number;
@@ -99,7 +128,15 @@
 	| 'cancelled'
 	| 'fenced'
 	| 'otherPool'
-	| 'doesNotFit';
+	| 'doesNotFit'
+	/** The upstream itself refused, or could not be connected to, before anything was sent to it. */
+	| 'upstreamRefused'
+	/** The connection that the start came on was lost while the task was queued. */
+	| 'connectionLost'
+	/** Neither the sender's tables nor the agent's are fresh enough to rule out a drain. */
+	| 'staleTables'
+	/** The agent remembers as many identities as it may; forgetting one early could start a task twice. */
+	| 'identitiesFull';
 
 /** How a task ended. */
 export type TaskEnd =
@@ -109,8 +146,16 @@
 	| { readonly state: 'failed'; readonly message: string; readonly runMs: number }
 	/** The task was running and was stopped. */
 	| { readonly state: 'stopped'; readonly message: string; readonly runMs: number }
-	/** The task never started and never will at this agent: only it may be placed elsewhere. */
-	| { readonly state: 'notStarted'; readonly reason: NotStartedReason }
+	/**
+	 * The task never started and never will at this agent under attempts up to `attempt` (all of them when it is
+	 * absent): only it may be placed elsewhere. A sender of attempts must ignore an answer to an earlier attempt than
+	 * its latest, such as one to a doubled start.
+	 */
+	| {
+			readonly state: 'notStarted';
+			readonly reason: NotStartedReason;
+			readonly attempt?: number | undefined;
+	  }
 	/** The task may or may not have run. */
 	| { readonly state: 'unknown'; readonly message: string };
 
@@ -124,6 +169,8 @@
 	readonly kind: 'taskOutcomes';
 	readonly revision: number;
 	readonly outcomes: readonly TaskOutcome[];
+	/** Tasks, of all entries, that are queued or running at the agent; for policies that place by cached load. */
+	readonly openTasks?: number | undefined;
 }
 
 /** Messages that an entry sends to an agent. */
