Close connections that come before a keeper's log is open

Cause: the listener takes connections while the log is being read from the disk, and nobody handled what came on them; the peer took the connection for a good one. The operators' interface knows the error 'refused' of the log.

--- a/src/keeper/node/keeperDaemon.ts
+++ b/src/keeper/node/keeperDaemon.ts
@@ -125,9 +125,14 @@
 			secret: settings.sharedSecret,
 			limits,
 		});
+		// Nobody handles messages before the log is open; peers that come earlier connect again.
+		const refusing = listener.onDidConnect((connection) => {
+			connection.dispose();
+		});
 		let daemon: KeeperDaemon;
 		try {
 			const log = await options.openLog(machine, listener.address);
+			refusing.dispose();
 			daemon = new KeeperDaemon(options, machine, listener, log, limits);
 		} catch (error) {
 			listener.dispose();
--- a/src/protocol/common/operatorApi.ts
+++ b/src/protocol/common/operatorApi.ts
@@ -57,7 +57,7 @@
 
 /** An answer without a result of the tables: bad input, no leader, or a result that can't be known. */
 export interface OperatorErrorBody {
-	readonly error: 'unauthorized' | 'badRequest' | 'noLeader' | 'unknown' | 'notFound';
+	readonly error: 'unauthorized' | 'badRequest' | 'noLeader' | 'refused' | 'unknown' | 'notFound';
 	/** Whole sentences with the remedy. */
 	readonly message: string;
 }
