--- a/src/proof/node/readerLoad.ts
+++ b/src/proof/node/readerLoad.ts
@@ -73,9 +73,14 @@
 		return this._answers;
 	}
 
+	/** Sends no more jobs, and lets those that are open end by themselves. */
+	abandon(): void {
+		this._stopped.abort();
+	}
+
 	/** Sends no more jobs and waits for the answers of those that are open. */
 	async stop(): Promise<readonly ReaderAnswer[]> {
-		this._stopped.abort();
+		this.abandon();
 		await this._arrivals;
 		await Promise.all(this._open);
 		return this._answers;
--- /dev/null
+++ b/src/proof/test/proofScenario.ts
@@ -0,0 +1,113 @@
+/** What the process-level tests share: a loaded system, its home entries, and waits on the load's progress. */
+
+import type { ExecutionContext } from 'ava';
+import { waitFor } from '../../base/common/async.js';
+import { rendezvousOrder } from '../../base/common/rendezvous.js';
+import type { LocalEntry } from '../node/localDaemon.js';
+import type { LocalSystemOptions } from '../node/localSystem.js';
+import { ProofRun } from '../node/proofRun.js';
+import { ReaderLoad, type ReaderLoadOptions } from '../node/readerLoad.js';
+
+/** Longest time for the load to get on, and for a system to recover. */
+export const progressTimeoutMs = 30_000;
+
+/** One keeper, three entries and two agents in each pool. */
+export const usualSystem: LocalSystemOptions = {
+	keepers: 1,
+	entries: 3,
+	agents: [{ pool: 'ledger' }, { pool: 'ledger' }, { pool: 'response' }, { pool: 'response' }],
+	dataCentres: 3,
+};
+
+/** The same with three keepers. */
+export const threeKeepers: LocalSystemOptions = { ...usualSystem, keepers: 3 };
+
+/** Jobs of both deployments: repeatable and not, with keys and without. */
+export const usualRoutes: ReaderLoadOptions['routes'] = [
+	{ route: 'consignment-status', team: 'galleries', isKeyed: false },
+	{ route: 'commission-terms', team: 'artists', isKeyed: true },
+	{ route: 'provenance-clearance', team: 'estates', isKeyed: true },
+	{ route: 'excusal-filing', team: 'citizens', isKeyed: true },
+	{ route: 'attendance-confirmation', team: 'clerks', isKeyed: true },
+];
+
+/** A run with readers who keep coming. */
+export interface LoadedRun {
+	readonly run: ProofRun;
+	readonly load: ReaderLoad;
+	/** Waits until so many more jobs have been answered. */
+	readonly answered: (jobs: number) => Promise<void>;
+}
+
+/** Starts a system and a load on every entry that runs. */
+export async function startLoaded(
+	t: ExecutionContext,
+	seed: number,
+	system: LocalSystemOptions = usualSystem,
+	changes: Partial<ReaderLoadOptions> = {},
+): Promise<LoadedRun> {
+	const run = await ProofRun.start(system);
+	t.teardown(() => run.close());
+	const load = new ReaderLoad(run.readers, {
+		seed,
+		jobsPerSecond: 60,
+		routes: usualRoutes,
+		tasks: { least: 1, most: 5 },
+		runMs: { least: 10, most: 120 },
+		deadlineMs: 4000,
+		resubmissions: 3,
+		targets: () => run.system.entries.filter((entry) => entry.isRunning),
+		...changes,
+	});
+	t.teardown(() => {
+		load.abandon();
+	});
+	const answered = async (jobs: number): Promise<void> => {
+		const before = load.answers.length;
+		await waitFor(`${jobs} more jobs are answered`, progressTimeoutMs, () => {
+			return load.answers.length >= before + jobs;
+		});
+	};
+	return { run, load, answered };
+}
+
+/** Ends the load, drains the system, and fails the test on any broken promise. */
+export async function finishAudited(t: ExecutionContext, { run, load }: LoadedRun): Promise<void> {
+	await load.stop();
+	const report = await run.finish();
+	t.log(JSON.stringify({ jobs: load.jobCount, starts: report.starts, outcomes: report.outcomes }));
+	t.deepEqual(report.breaches, []);
+	t.true(report.outcomes.complete > 0);
+}
+
+/** The entry that places the jobs of a pool while every entry is live. */
+export function homeEntry(run: ProofRun, pool: string): LocalEntry {
+	const [first] = rendezvousOrder(
+		pool,
+		run.system.entries.map(({ name }) => name),
+	);
+	const home = run.system.entries.find(({ name }) => name === first);
+	if (home === undefined) {
+		throw new RangeError('The system has no entry.');
+	}
+	return home;
+}
+
+/** An entry that is not the home of a pool. */
+export function otherEntry(run: ProofRun, pool: string): LocalEntry {
+	const home = homeEntry(run, pool);
+	const other = run.system.entries.find(({ name }) => name !== home.name);
+	if (other === undefined) {
+		throw new RangeError('The system has only one entry.');
+	}
+	return other;
+}
+
+/** The element at an index that exists. */
+export function at<T>(list: readonly T[], index: number): T {
+	const element = list[index];
+	if (element === undefined) {
+		throw new RangeError(`There is no element ${index}.`);
+	}
+	return element;
+}
