--- a/src/proof/common/auditRecords.ts
+++ b/src/proof/common/auditRecords.ts
@@ -109,6 +109,8 @@
 	readonly breaches: readonly Breach[];
 	/** Attempts by the kind of their outcome. */
 	readonly outcomes: Readonly<Record<ReaderOutcome['kind'], number>>;
+	/** Failed and refused attempts by their reason. */
+	readonly reasons: Readonly<Record<string, number>>;
 	readonly starts: number;
 	/**
 	 * Attempts answered `notRun` although another attempt with the same key had started the job before. No breach,
--- a/src/proof/common/auditor.ts
+++ b/src/proof/common/auditor.ts
@@ -40,6 +40,7 @@
 		counts: countBreaches(breaches),
 		breaches,
 		outcomes: countOutcomes(input.readers),
+		reasons: countReasons(input.readers),
 		starts: input.starts.length,
 		refusalsBesideOtherAttempt: countRefusalsBesideOtherAttempt(input.readers, startsByToken),
 	};
@@ -240,6 +241,16 @@
 	return counts;
 }
 
+function countReasons(readers: readonly ReaderRecord[]): Record<string, number> {
+	const counts: Record<string, number> = {};
+	for (const { outcome } of readers) {
+		if (outcome.kind === 'failed' || outcome.kind === 'notRun') {
+			counts[outcome.reason] = (counts[outcome.reason] ?? 0) + 1;
+		}
+	}
+	return counts;
+}
+
 function breach(promise: PromiseName, description: string): Breach {
 	return { promise, description };
 }
