--- a/src/code/node/commands/benchCommand.ts
+++ b/src/code/node/commands/benchCommand.ts
@@ -1,12 +1,68 @@
-/** `yuccaarch bench`: Measures a placement policy against the ideal. */
+/** `yuccaarch bench`: measures a placement policy against the ideal on real processes. */
 
 import { defineCommand } from 'citty';
+import { z } from 'zod';
+import { scenarioNames } from '../../../bench/common/workload.js';
+import { benchParts, runFullBench } from '../../../bench/node/fullBench.js';
+import { checkSettings } from '../../../platform/settings/node/loadSettings.js';
+import { policyNames } from '../../../entry/common/entrySettings.js';
+import { reportSettingsError } from '../../../platform/daemon/node/daemon.js';
+
+const optionsSchema = z.object({
+	policy: z.enum(policyNames),
+	load: z.coerce.number().positive().max(2),
+	scenario: z.enum(scenarioNames),
+	seed: z.coerce.number().int().nonnegative(),
+	durationMs: z.coerce.number().positive().max(600_000),
+	deployment: z.enum(['registro', 'citacion']),
+	isKeyed: z.boolean(),
+	parts: z.array(z.enum(benchParts)).min(1),
+});
 
 /** The command's definition. */
 export const benchCommand = defineCommand({
-	meta: { name: 'bench', description: 'Measures a placement policy against the ideal.' },
-	run: () => {
-		process.stderr.write('The command "bench" is not built yet.\n');
-		process.exitCode = 1;
+	meta: { name: 'bench', description: 'Measures a placement policy against the ideal, on real processes.' },
+	args: {
+		policy: { type: 'string', default: 'home', description: `One of ${policyNames.join(', ')}.` },
+		load: {
+			type: 'string',
+			default: '0.8',
+			description: 'Offered work as a share of what the slots can do.',
+		},
+		scenario: { type: 'string', default: 'steady', description: `One of ${scenarioNames.join(', ')}.` },
+		seed: { type: 'string', default: '1', description: 'Seed of the arrivals.' },
+		seconds: { type: 'string', default: '30', description: 'Time over which jobs arrive.' },
+		deployment: {
+			type: 'string',
+			default: 'registro',
+			description: 'registro or citacion: sizes and delays.',
+		},
+		parts: { type: 'string', default: benchParts.join(','), description: 'Parts to run: load, idle, rate.' },
+		keyed: { type: 'boolean', default: false, description: 'Sends jobs with idempotency keys.' },
+		json: { type: 'boolean', default: false, description: 'Prints one JSON object on one line.' },
+	},
+	run: async ({ args }) => {
+		let options: z.output<typeof optionsSchema>;
+		try {
+			options = checkSettings('bench', toOptions(args), optionsSchema);
+		} catch (error) {
+			reportSettingsError(error);
+			return;
+		}
+		const report = await runFullBench(options, options.parts);
+		process.stdout.write(`${JSON.stringify(report, undefined, args.json ? undefined : 2)}\n`);
 	},
 });
+
+function toOptions(args: {
+	readonly seconds: string;
+	readonly parts: string;
+	readonly keyed: boolean;
+}): object {
+	return {
+		...args,
+		isKeyed: args.keyed,
+		durationMs: Number(args.seconds) * 1000,
+		parts: args.parts.split(','),
+	};
+}
