--- a/src/agent/common/systems/runSystem.ts
+++ b/src/agent/common/systems/runSystem.ts
@@ -5,9 +5,9 @@
 import type { AgentInput, RunEnd } from '../agentInputs.js';
 import type { AgentTick } from '../agentTables.js';
 import type { LiveTask, TaskRecord } from '../taskTable.js';
-import { learnUsage } from './guardSystem.js';
-import { dropUpstream } from './membershipSystem.js';
-import { endTask, runMsOf } from './taskEnds.js';
+import { learnUsage, noteUsage } from './guardSystem.js';
+import { dropUpstream, suspectUpstream } from './membershipSystem.js';
+import { endTask, notStartedEnd, runMsOf } from './taskEnds.js';
 
 type RunEndedInput = Extract<AgentInput, { kind: 'runEnded' }>;
 
@@ -18,13 +18,16 @@
 	if (record?.live === undefined) {
 		return;
 	}
+	if ('usage' in input.end) {
+		noteUsage(record.live, input.end.usage);
+	}
 	learnUsage(tables, record.live);
 	endTask(tick, record, toTaskEnd(tick, record, record.live, input.end));
 	if (input.end.state === 'notStarted' && input.end.cause === 'unreachable') {
 		dropUpstream(tick, 'unreachable');
 	}
 	if (input.end.state === 'lost' && tables.upstream !== undefined) {
-		tables.upstream.isSuspect = true;
+		suspectUpstream(tick, tables.upstream);
 	}
 }
 
@@ -39,7 +42,7 @@
 			message: live.stopMessage === '' ? 'The upstream stopped the task.' : live.stopMessage,
 			runMs,
 		}))
-		.with({ state: 'notStarted' }, () => ({ state: 'notStarted', reason: 'upstreamRefused' }))
+		.with({ state: 'notStarted' }, () => notStartedEnd(record, 'upstreamRefused'))
 		.with({ state: 'lost' }, ({ message }) => ({ state: 'unknown', message }))
 		.exhaustive();
 }
