Hand a pool over to its new home without cutting a request

Cause: a draining home stopped the jobs that it had begun, so that readers of a graceful shutdown got `failed`. The issue asks for none cut.

Change: an earlier home that the keepers still list goes on with what it has begun. Jobs that the new home may come to hold too (keyed ones, and those that were relayed before) are named to it first and held until it has taken the list; it declines those that it has begun itself, and relays resubmissions of the others back. Remembered answers travel along. A daemon's drain waits until the directory names another home.

Ruled out: going on without an answer from the new home.

--- a/src/entry/common/entryCore.ts
+++ b/src/entry/common/entryCore.ts
@@ -14,6 +14,7 @@
 import { cancelByJobId, dropReader } from './systems/cancelSystem.js';
 import { applyControlState } from './systems/controlSystem.js';
 import { answerLateJobs, refuseHopelessJobs } from './systems/deadlineSystem.js';
+import { mayGoOn, stopLateHandOvers, takeEarlyHandOver } from './systems/handOverSystem.js';
 import { acknowledgeOldOutcomes, applyOutcomes } from './systems/outcomeSystem.js';
 import { placeTasks } from './systems/placementSystem.js';
 import { applyEntryMessage } from './systems/relaySystem.js';
@@ -75,6 +76,7 @@
 		}
 		if (this._policy.usesHome) {
 			settleHomes(tables);
+			stopLateHandOvers(tables);
 			routeWaitingJobs(context);
 		}
 		placeTasks(tables, this._policy);
@@ -147,11 +149,13 @@
 			return;
 		}
 		const { tables, outputs } = context;
-		for (const pool of updateHomes(tables, outputs, hasMissedDirectories)) {
+		for (const { pool, before } of updateHomes(tables, outputs, hasMissedDirectories)) {
 			if (pool.home.kind === 'self') {
 				searchWaitingJobs(tables, pool.name);
+				takeEarlyHandOver(tables, pool);
 			} else {
-				leavePool(context, pool);
+				const mayGoOnHere = before.kind === 'self' && mayGoOn(tables, hasMissedDirectories);
+				leavePool(context, pool, mayGoOnHere);
 			}
 		}
 	}
--- a/src/entry/common/entryTables.ts
+++ b/src/entry/common/entryTables.ts
@@ -60,6 +60,8 @@
 	readonly deadlines = new DeadlineQueue();
 	/** Jobs that wait for a home or for a takeover. */
 	readonly waitingJobs = new Set<JobRow>();
+	/** Jobs that wait until a new home has taken a hand-over. */
+	readonly handedOverJobs = new Set<JobRow>();
 	/** Whether a relayed job's home may have moved or come back since the last tick. */
 	mayHomesHaveMoved = false;
 	/** Times that a claim was released lately, by submission. */
--- a/src/entry/common/jobRow.ts
+++ b/src/entry/common/jobRow.ts
@@ -29,6 +29,8 @@
 	| 'waitingForHome'
 	/** Waits for the keepers' answer to its claim. */
 	| 'claiming'
+	/** Goes on here once the pool's new home leaves it to this entry. */
+	| 'handingOver'
 	/** Tasks are placed by this entry. */
 	| 'placing'
 	/** Handed to the pool's home. */
@@ -152,6 +154,11 @@
 		return this.submission.isKeyed || this.relayers.size > 0 || this.mayHaveStarted;
 	}
 
+	/** Whether an entry that becomes the home may come to hold the same submission by itself. */
+	get mayBeHeldElsewhere(): boolean {
+		return this.submission.isKeyed || this.mayHaveStarted || this.hasBeenSearched;
+	}
+
 	/** Moves the job to another phase. */
 	enter(phase: JobPhase, nowMs: number): void {
 		this.phase = phase;
--- a/src/entry/common/poolState.ts
+++ b/src/entry/common/poolState.ts
@@ -1,6 +1,7 @@
 /** What this entry keeps for a pool beside the operators' row: its queue, its home and what was learned about it. */
 
 import type { PoolRow } from '../../declarations/common/tables.js';
+import type { HandOverMessage } from '../../protocol/common/entryMessages.js';
 import type { JobRow } from './jobRow.js';
 import { TeamQueue } from './teamQueue.js';
 
@@ -20,6 +21,12 @@
 	isSettled: boolean;
 }
 
+/** A hand-over and the entry that sent it. */
+export interface EarlyHandOver {
+	readonly from: string;
+	readonly message: HandOverMessage;
+}
+
 /** Weight of the newest run time in the learned mean. */
 const runTimeWeight = 0.05;
 /** Retries that may be saved up. */
@@ -42,6 +49,8 @@
 	lastLossMs = -Infinity;
 	/** Present while this entry is the home. */
 	tenure: Tenure | undefined;
+	/** A hand-over that came before the directory that makes this entry the home. */
+	earlyHandOver: EarlyHandOver | undefined;
 	/** Submissions that an earlier home goes on with, by its process id. */
 	readonly ownedElsewhere = new Map<string, string>();
 
--- a/src/entry/common/systems/relaySystem.ts
+++ b/src/entry/common/systems/relaySystem.ts
@@ -12,6 +12,7 @@
 import { notRun } from '../verdict.js';
 import { isOtherJob, keyReusedAnswer, recall, staleTables } from './admissionSystem.js';
 import { cancel, cancelByJobId } from './cancelSystem.js';
+import { goOnAfterHandOver, takeHandOver } from './handOverSystem.js';
 import { homeMoved, routeJob, waitForHome, type RoutingContext } from './routingSystem.js';
 
 /** Pause after an entry said that it isn't the home: one of the two has an older directory. */
@@ -47,7 +48,12 @@
 			}
 		})
 		.with({ kind: 'quotaDemands' }, { kind: 'quotaGrants' }, () => undefined)
-		.with({ kind: 'handOver' }, { kind: 'handOverTaken' }, () => undefined)
+		.with({ kind: 'handOver' }, (handOver) => {
+			takeHandOver(context.tables, peer.processId, handOver);
+		})
+		.with({ kind: 'handOverTaken' }, (taken) => {
+			goOnAfterHandOver(context.tables, taken);
+		})
 		.exhaustive();
 }
 
@@ -131,6 +137,7 @@
 	if (answer.status === 'notRun' && answer.reason === 'homeUnreachable') {
 		job.routeAgainMs = tables.nowMs + routeAgainWaitMs;
 		job.relayedTo = undefined;
+		tables.poolOf(job.pool).ownedElsewhere.delete(submissionId);
 		waitForHome(tables, job);
 		return;
 	}
--- a/src/entry/common/systems/routingSystem.ts
+++ b/src/entry/common/systems/routingSystem.ts
@@ -10,10 +10,11 @@
 import type { EntryTables } from '../entryTables.js';
 import { admit, dequeue, enqueue, finishJob, releaseClaim, stopJob } from '../jobLife.js';
 import type { JobRow, RelayTarget } from '../jobRow.js';
-import type { PoolState } from '../poolState.js';
+import type { PoolHome, PoolState } from '../poolState.js';
 import type { EntryOutputs } from '../tickTypes.js';
 import { alreadySubmitted, deadlineVerdict, notRun, refusedVerdict } from '../verdict.js';
 import { refusalOfPool } from './admissionSystem.js';
+import { handOver, ownerElsewhere, stopForNewHome } from './handOverSystem.js';
 import { isSearchInVain, needsSearch, searchJob } from './searchSystem.js';
 
 /** Time that a job waits for its home before this entry places it, or refuses it if that could start it twice. */
@@ -33,11 +34,12 @@
 export function routeJob(context: RoutingContext, job: JobRow): void {
 	const { tables, usesHome } = context;
 	const pool = tables.poolOf(job.pool);
-	if (!usesHome || pool.home.kind === 'self') {
+	const owner = ownerElsewhere(tables, job);
+	if (owner === undefined && (!usesHome || pool.home.kind === 'self')) {
 		takeJob(context, job);
 		return;
 	}
-	const { home } = pool;
+	const home: PoolHome = owner === undefined ? pool.home : { kind: 'other', ...owner };
 	const sessionId = home.kind === 'other' ? tables.entrySessions.get(home.processId) : undefined;
 	if (home.kind === 'other' && sessionId !== undefined && isSessionOf(tables, sessionId, home.incarnation)) {
 		relay(tables, job, home, sessionId);
@@ -115,24 +117,33 @@
 	enqueue(tables, job);
 }
 
-/** Moves jobs that wait here to the pool's new home, and stops what may no longer be started here. */
-export function leavePool(context: RoutingContext, pool: PoolState): void {
+/**
+ * Moves jobs that wait here to the pool's new home.
+ *
+ * @param mayGoOnHere whether this entry may go on with those that it has begun; else their other tasks never start
+ */
+export function leavePool(context: RoutingContext, pool: PoolState, mayGoOnHere: boolean): void {
 	const { tables } = context;
+	const contested: JobRow[] = [];
+	const claimed: JobRow[] = [];
 	for (const job of tables.jobs.values()) {
-		const isHere = job.phase === 'placing' || job.phase === 'settling';
-		if (job.pool !== pool.name || !isHere || job.isClaimed) {
+		const isHere = job.phase === 'placing' || job.phase === 'settling' || job.phase === 'handingOver';
+		if (job.pool !== pool.name || !isHere) {
 			continue;
 		}
-		if (job.isUntouched && job.stop === undefined) {
+		if (job.isClaimed) {
+			claimed.push(job);
+		} else if (job.isUntouched && job.stop === undefined) {
 			passOn(context, job);
-		} else if (job.isShared) {
-			stopJob(tables, job, {
-				reason: 'homeUnreachable',
-				message: 'The home of the pool changed while the job ran, so its remaining tasks were not started.',
-				retryAfterMs: retryAfterHomeMs,
-			});
+		} else if (job.isShared && (!mayGoOnHere || job.phase === 'handingOver')) {
+			stopForNewHome(tables, job);
+		} else if (job.mayBeHeldElsewhere) {
+			contested.push(job);
 		}
 	}
+	if (mayGoOnHere && pool.home.kind === 'other') {
+		handOver(tables, pool, contested, claimed);
+	}
 }
 
 /** Gives a job back to the entries that relayed it, and routes it anew for readers of this entry. */
--- a/src/entry/common/systems/tenureSystem.ts
+++ b/src/entry/common/systems/tenureSystem.ts
@@ -8,6 +8,12 @@
 /** Longest time that a new home waits for its workers to connect and for the earlier home's hand-over. */
 const settleMs = 1500;
 
+/** A pool whose home has changed. */
+export interface HomeChange {
+	readonly pool: PoolState;
+	readonly before: PoolHome;
+}
+
 /**
  * Recomputes the home of every pool. Returns the pools whose home has changed, or may have changed and come back
  * while directories were missed.
@@ -16,22 +22,22 @@
 	tables: EntryTables,
 	outputs: EntryOutputs,
 	hasMissedDirectories: boolean,
-): PoolState[] {
-	const changed: PoolState[] = [];
+): HomeChange[] {
+	const changed: HomeChange[] = [];
 	for (const pool of tables.pools.values()) {
 		const before = pool.home;
 		const after = homeOf(pool.name, tables.control.directory.entries, tables.options.processId);
 		if (isSameHome(before, after)) {
 			if (hasMissedDirectories && after.kind === 'self') {
 				pool.tenure = beginTenure(tables, before);
-				changed.push(pool);
+				changed.push({ pool, before });
 			}
 			continue;
 		}
 		pool.home = after;
 		pool.tenure = after.kind === 'self' ? beginTenure(tables, before) : undefined;
 		pool.ownedElsewhere.clear();
-		changed.push(pool);
+		changed.push({ pool, before });
 		logHome(tables, pool, outputs);
 	}
 	return changed;
--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -34,6 +34,9 @@
 /** Time for which a stopping entry still answers, so that the balancer sees that it is not ready. */
 const drainNoticeMs = 300;
 
+/** Time that the other entries get to learn that this one is no longer a home. */
+const handOverTimeoutMs = 2000;
+
 /** What an entry is started with. */
 export interface EntryDaemonOptions {
 	readonly settings: EntrySettings;
@@ -158,12 +161,22 @@
 		this._loop.push({ kind: 'drain' });
 		const untilMs = performance.now() + drainNoticeMs;
 		const { jobs } = this._core.tables;
+		const handOverUntilMs = performance.now() + handOverTimeoutMs;
 		await waitFor('every job is answered', this._options.settings.drainTimeoutMs, () => {
-			return performance.now() >= untilMs && jobs.size === 0 && this._api.waitingCount === 0;
+			const isHandedOver = !this._isHome() || performance.now() >= handOverUntilMs;
+			const isIdle = jobs.size === 0 && this._api.waitingCount === 0;
+			return performance.now() >= untilMs && isHandedOver && isIdle;
 		});
 		await closeServer(this._server);
 	}
 
+	/** Whether other entries may still relay jobs to this one. */
+	private _isHome(): boolean {
+		const { entries } = this._control.state.directory;
+		const own = entries.find((entry) => entry.processId === this._identity.processId);
+		return own?.isDraining === false && entries.length > 1;
+	}
+
 	private _serve(): void {
 		const listener = getRequestListener(this._api.createApp().fetch, {});
 		this._server.on('request', (request, response) => {
--- a/src/entry/test/simulatedSystem.ts
+++ b/src/entry/test/simulatedSystem.ts
@@ -201,16 +201,27 @@
 		});
 	}
 
-	drainEntry(): void {
-		const entry = this.random.pick(this.entries);
-		if (!entry.isAlive || entry.isDraining || this.entries.filter((other) => other.isAlive).length < 2) {
+	/** Drains an entry and ends it once its jobs are answered; a new run follows. */
+	drainEntry(index = this.random.integer(0, this.entries.length - 1)): void {
+		const entry = this.entries[index];
+		if (
+			entry?.isAlive !== true ||
+			entry.isDraining ||
+			this.entries.filter((other) => other.isAlive).length < 2
+		) {
 			return;
 		}
 		entry.isDraining = true;
 		this._push(entry, { kind: 'drain' });
-		this.after(2500, () => {
-			if (entry.isAlive) {
+		this._endOnceIdle(entry);
+	}
+
+	private _endOnceIdle(entry: SimulatedEntry): void {
+		this.after(1000, () => {
+			if (entry.isAlive && entry.core.tables.jobs.size === 0) {
 				this._replace(entry);
+			} else if (entry.isAlive) {
+				this._endOnceIdle(entry);
 			}
 		});
 	}
--- a/src/protocol/common/entryMessages.ts
+++ b/src/protocol/common/entryMessages.ts
@@ -93,6 +93,8 @@
 	readonly revision: number;
 	readonly epoch: number;
 	readonly pool: string;
+	/** Submissions that the new home has begun itself; the earlier one must not go on with them. */
+	readonly declinedIds: readonly string[];
 }
 
 /** Messages between entries. */
