--- a/src/platform/storage/node/segmentedLog.ts
+++ b/src/platform/storage/node/segmentedLog.ts
@@ -75,9 +75,7 @@
 			await syncFolder(path.dirname(folder));
 			const mark = await SyncMark.open(path.join(folder, 'synced'));
 			const log = new SegmentedLog(folder, mark, options);
-			const scanned = await log._readSegments();
-			const records = scanned.flatMap((each) => each.records);
-			return { log, records, cutBytes: scanned.at(-1)?.cutBytes ?? 0 };
+			return await log._read();
 		} catch (error) {
 			throw toStorageError(error, folder);
 		}
@@ -179,6 +177,17 @@
 		}
 	}
 
+	private async _read(): Promise<OpenedLog> {
+		try {
+			const scanned = await this._readSegments();
+			const records = scanned.flatMap((each) => each.records);
+			return { log: this, records, cutBytes: scanned.at(-1)?.cutBytes ?? 0 };
+		} catch (error) {
+			await this.close();
+			throw error;
+		}
+	}
+
 	private async _readSegments(): Promise<ScannedSegment[]> {
 		const firstIndexes = await listSegments(this._folder);
 		const scanned: ScannedSegment[] = [];
--- a/src/replication/node/pendingWork.ts
+++ b/src/replication/node/pendingWork.ts
@@ -91,6 +91,19 @@
 		this.retry(appended.item);
 	}
 
+	/**
+	 * A later leader's first entry is committed. What an earlier term appended behind it can't be committed any more,
+	 * although nothing may ever take its place, so it is tried again.
+	 */
+	retryOvertaken(index: number, term: number): void {
+		for (const [appendedIndex, appended] of this._appended) {
+			if (appendedIndex > index && appended.term < term) {
+				this._appended.delete(appendedIndex);
+				this.retry(appended.item);
+			}
+		}
+	}
+
 	/** A snapshot replaced these entries, so their results aren't known here. */
 	settleReplaced(upToIndex: number): void {
 		for (const [index, { item }] of this._appended) {
--- a/src/replication/node/replicaStorage.ts
+++ b/src/replication/node/replicaStorage.ts
@@ -36,7 +36,8 @@
 
 /** The files of one keeper, locked against a second process. */
 export class ReplicaStorage {
-	private constructor(
+	/** Use {@link open}. */
+	constructor(
 		private readonly _folder: string,
 		private readonly _lock: IDisposable,
 		private readonly _log: SegmentedLog,
@@ -55,28 +56,7 @@
 		await mkdir(folder, { recursive: true });
 		const lock = await lockFolder(folder);
 		try {
-			const stateFile = path.join(folder, 'state');
-			const hardState = await readHardState(stateFile);
-			const snapshot = await readNewestSnapshot(folder);
-			const opened = await SegmentedLog.open(path.join(folder, 'log'), {
-				segmentBytes: options.segmentBytes ?? defaultSegmentBytes,
-				startIndex: (snapshot?.index ?? 0) + 1,
-				syncFile: options.syncFile,
-				onWillSync: options.onWillSync,
-			});
-			const entries = opened.records.map((record) => decodeEntry(record.index, record.payload));
-			if (hardState === undefined && (snapshot !== undefined || entries.length > 0)) {
-				throw damagedFile(stateFile, 0, 'It is missing, although the folder holds a log.');
-			}
-			requireNoGap(folder, snapshot, entries);
-			const kept = await reconcile(opened.log, snapshot, entries);
-			const known = hardState ?? (await createHardState(stateFile, options.syncFile));
-			return new ReplicaStorage(folder, lock, opened.log, options, {
-				hardState: known,
-				snapshot,
-				entries: kept,
-				cutBytes: opened.cutBytes,
-			});
+			return await openLocked(folder, lock, options);
 		} catch (error) {
 			lock.dispose();
 			throw error;
@@ -147,6 +127,36 @@
 	}
 }
 
+async function openLocked(
+	folder: string,
+	lock: IDisposable,
+	options: ReplicaStorageOptions,
+): Promise<ReplicaStorage> {
+	const stateFile = path.join(folder, 'state');
+	const hardState = await readHardState(stateFile);
+	const snapshot = await readNewestSnapshot(folder);
+	const opened = await SegmentedLog.open(path.join(folder, 'log'), {
+		segmentBytes: options.segmentBytes ?? defaultSegmentBytes,
+		startIndex: (snapshot?.index ?? 0) + 1,
+		syncFile: options.syncFile,
+		onWillSync: options.onWillSync,
+	});
+	try {
+		const found = opened.records.map((record) => decodeEntry(record.index, record.payload));
+		if (hardState === undefined && (snapshot !== undefined || found.length > 0)) {
+			throw damagedFile(stateFile, 0, 'It is missing, although the folder holds a log.');
+		}
+		requireNoGap(folder, snapshot, found);
+		const entries = await reconcile(opened.log, snapshot, found);
+		const known = hardState ?? (await createHardState(stateFile, options.syncFile));
+		const stored = { hardState: known, snapshot, entries, cutBytes: opened.cutBytes };
+		return new ReplicaStorage(folder, lock, opened.log, options, stored);
+	} catch (error) {
+		await opened.log.close();
+		throw error;
+	}
+}
+
 /** A log that begins behind its snapshot has lost a segment or a snapshot. */
 function requireNoGap(folder: string, snapshot: Snapshot | undefined, entries: readonly LogEntry[]): void {
 	const nextIndex = (snapshot?.index ?? 0) + 1;
--- a/src/replication/node/workRouter.ts
+++ b/src/replication/node/workRouter.ts
@@ -97,6 +97,9 @@
 	/** Settles what was appended at an applied entry. */
 	settleApplied(entry: LogEntry, answer: Uint8Array): void {
 		this._pending.settleApplied(entry.index, entry.term, answer);
+		if (entry.kind === 'noop') {
+			this._pending.retryOvertaken(entry.index, entry.term);
+		}
 	}
 
 	settleReplaced(upToIndex: number): void {
