Say of each fault in a settings file what the value is and what to write instead

Cause: the schema's own messages named neither the value nor the remedy, and an unknown key was reported at the table that holds it. Change: sentences made from the schema's issues; values of secrets and tokens are not shown.

--- a/src/platform/settings/node/loadSettings.ts
+++ b/src/platform/settings/node/loadSettings.ts
@@ -4,6 +4,7 @@
 import { parse, TomlError } from 'smol-toml';
 import type { z } from 'zod';
 import { describeError } from '../../../base/common/errors.js';
+import { describeIssue, keysOf } from '../common/describeIssue.js';
 import { SettingsError } from '../common/settingsError.js';
 
 /**
@@ -19,15 +20,13 @@
 
 /** Checks a parsed file against a schema. See {@link loadSettings}. */
 export function checkSettings<T extends z.ZodType>(file: string, content: unknown, schema: T): z.output<T> {
-	const result = schema.safeParse(content);
+	const result = schema.safeParse(content, { reportInput: true });
 	if (result.success) {
 		return result.data;
 	}
-	const issues = result.error.issues.map((issue) => ({
-		file,
-		key: issue.path.join('.'),
-		message: issue.message,
-	}));
+	const issues = result.error.issues.flatMap((issue) =>
+		keysOf(issue).map((key) => ({ file, key, message: describeIssue(issue) })),
+	);
 	throw new SettingsError(issues);
 }
 
