--- /dev/null
+++ b/src/proof/test/keeperGroup.test.ts
@@ -0,0 +1,223 @@
+/** Three keepers as real processes: races, resends, lost and stopped keepers, cuts, and how soon a change is in force. */
+
+import test from 'ava';
+import { waitFor } from '../../base/common/async.js';
+import type { LocalKeeper } from '../node/localDaemon.js';
+import { drainOf, quantile, withKeepers, type KeeperFixture } from './keeperFixture.js';
+
+const entries = 4;
+const agents = 40;
+
+/** Longest time from acceptance to in force under any single fault. */
+const inForceLimitMs = 3000;
+
+function others(fixture: KeeperFixture, keeper: LocalKeeper): LocalKeeper[] {
+	return fixture.keepers.filter((other) => other !== keeper);
+}
+
+/** Makes changes one after the other, and returns the times from acceptance to in force in every subscriber. */
+async function measureChanges(
+	fixture: KeeperFixture,
+	asked: readonly LocalKeeper[],
+	firstRevision: number,
+	count: number,
+): Promise<number[]> {
+	const timesMs: number[] = [];
+	for (let index = 0; index < count; index += 1) {
+		const revision = await fixture.changeSurely(
+			asked,
+			firstRevision + index,
+			`change-${firstRevision + index}`,
+		);
+		const acceptedAtMs = performance.now();
+		await fixture.waitInForce(revision, fixture.subscribers);
+		const lastMs = Math.max(...fixture.subscribers.map((one) => one.inForceAtMs.get(revision) ?? Infinity));
+		timesMs.push(Math.max(0, lastMs - acceptedAtMs));
+	}
+	return timesMs;
+}
+
+test.serial('a change is in force in 4 entries and 40 agents within 500 ms (p99)', async (t) => {
+	await withKeepers({ keepers: 3 }, async (fixture) => {
+		await fixture.leader();
+		await fixture.subscribe(entries, 'entry');
+		await fixture.subscribe(agents, 'agent');
+		const timesMs = await measureChanges(fixture, fixture.keepers, 0, 200);
+		const [p50, p99, max] = [quantile(timesMs, 0.5), quantile(timesMs, 0.99), Math.max(...timesMs)];
+		t.log(`in force after p50 ${p50.toFixed(1)} ms, p99 ${p99.toFixed(1)} ms, at most ${max.toFixed(1)} ms`);
+		t.true(p99 <= 500);
+	});
+});
+
+test.serial('of operators with equal numbers at different keepers exactly one wins', async (t) => {
+	await withKeepers({ keepers: 3 }, async (fixture) => {
+		await fixture.leader();
+		for (let revision = 0; revision < 50; revision += 1) {
+			const answers = await Promise.all(
+				fixture.keepers.map((keeper) =>
+					fixture.change(keeper, revision, [drainOf(`${keeper.name}-${revision}`)]),
+				),
+			);
+			const outcomes = answers.map((answer) => (answer.body as { outcome: string }).outcome).sort();
+			t.deepEqual(outcomes, ['accepted', 'conflict', 'conflict']);
+			const conflict = answers.find((answer) => answer.status === 409)?.body;
+			t.like(conflict, { presentRevision: revision + 1 });
+			t.is((conflict as { changesSince: unknown[] }).changesSince.length, 1);
+		}
+	});
+});
+
+test.serial('a change that is resent over changes of leader is made once', async (t) => {
+	await withKeepers({ keepers: 3 }, async (fixture) => {
+		for (let round = 0; round < 5; round += 1) {
+			const leader = await fixture.leader();
+			const survivors = others(fixture, leader);
+			const requestId = `request-of-round-${round}`;
+			const lost = fixture
+				.change(survivors[0]!, round, [drainOf(`round-${round}`)], requestId)
+				.catch(() => undefined);
+			await leader.kill();
+			const first = await lost;
+			let resent = await fixture.change(survivors[1]!, round, [drainOf(`round-${round}`)], requestId);
+			for (let attempt = 0; resent.status >= 500 && attempt < 50; attempt += 1) {
+				resent = await fixture.change(survivors[1]!, round, [drainOf(`round-${round}`)], requestId);
+			}
+			t.like(resent.body, { outcome: 'accepted', revision: round + 1 }, JSON.stringify(first));
+			await leader.start();
+			await fixture.leader();
+			const { changes } = await fixture.history(leader);
+			t.is(changes.filter((change) => change.requestId === requestId).length, 1);
+		}
+	});
+});
+
+/** One fault that strikes a keeper and can be ended. */
+interface Fault {
+	readonly name: string;
+	readonly strike: (fixture: KeeperFixture, keeper: LocalKeeper) => Promise<() => Promise<void>>;
+}
+
+const faults: readonly Fault[] = [
+	{
+		name: 'killed',
+		strike: async (_fixture, keeper) => {
+			await keeper.kill();
+			return async () => {
+				await keeper.start();
+			};
+		},
+	},
+	{
+		name: 'stopped',
+		strike: (_fixture, keeper) => {
+			keeper.process.pause();
+			return Promise.resolve(() => {
+				keeper.process.resume();
+				return Promise.resolve();
+			});
+		},
+	},
+	{
+		name: 'cut off from the other keepers, silently',
+		strike: (fixture, keeper) => {
+			const cuts = others(fixture, keeper).flatMap((other) => [
+				...cutBoth(keeper, other.name),
+				...cutBoth(other, keeper.name),
+			]);
+			return Promise.resolve(() => {
+				for (const cut of cuts) {
+					cut.dispose();
+				}
+				return Promise.resolve();
+			});
+		},
+	},
+	{
+		name: 'unable to reach the other keepers and its subscribers, but able to hear them',
+		strike: (fixture, keeper) => {
+			const cuts = [
+				keeper.peerProxy!.cut('toClient'),
+				...others(fixture, keeper).map((other) => other.peerProxy!.cut('toServer', { client: keeper.name })),
+			];
+			return Promise.resolve(() => {
+				for (const cut of cuts) {
+					cut.dispose();
+				}
+				return Promise.resolve();
+			});
+		},
+	},
+];
+
+function cutBoth(keeper: LocalKeeper, client: string) {
+	return (['toServer', 'toClient'] as const).map((direction) => keeper.peerProxy!.cut(direction, { client }));
+}
+
+for (const fault of faults) {
+	for (const role of ['leader', 'follower'] as const) {
+		test.serial(`with the ${role} ${fault.name}, a change is in force everywhere within 3 s`, async (t) => {
+			await withKeepers({ keepers: 3, proxies: ['keeperPeer'] }, async (fixture) => {
+				const leader = await fixture.leader();
+				const struck = role === 'leader' ? leader : others(fixture, leader)[0]!;
+				await fixture.subscribe(entries, 'entry');
+				await fixture.subscribe(agents, 'agent');
+				await measureChanges(fixture, fixture.keepers, 0, 3);
+				const heal = await fault.strike(fixture, struck);
+				const timesMs = await measureChanges(fixture, others(fixture, struck), 3, 10);
+				t.log(`in force after at most ${Math.max(...timesMs).toFixed(0)} ms`);
+				t.true(Math.max(...timesMs) <= inForceLimitMs);
+				await heal();
+				const healedMs = await measureChanges(fixture, others(fixture, struck), 13, 10);
+				t.true(Math.max(...healedMs) <= inForceLimitMs, 'also while the fault ends');
+				await waitFor(
+					'the keeper has caught up',
+					10_000,
+					async () => (await fixture.tables(struck)).revision >= 23,
+				);
+				t.false(fixture.subscribers.some((subscriber) => subscriber.wentBack));
+				const oldestMs = Math.max(...fixture.subscribers.map((subscriber) => subscriber.oldestMs));
+				t.log(`the state of a subscriber was at most ${oldestMs.toFixed(0)} ms old`);
+			});
+		});
+	}
+}
+
+test.serial(
+	'a leader that is cut off for long accepts nothing, says that it is stale, and reverts nothing',
+	async (t) => {
+		await withKeepers({ keepers: 3, proxies: ['keeperPeer'] }, async (fixture) => {
+			const former = await fixture.leader();
+			const majority = others(fixture, former);
+			const [agent] = await fixture.subscribe(1, 'agent');
+			await fixture.changeSurely([former], 0, 'before');
+			await fixture.waitInForce(1, [agent!]);
+			// The agent reaches only the former leader: it can move nowhere.
+			const cuts = [
+				...majority.flatMap((other) => [...cutBoth(former, other.name), ...cutBoth(other, former.name)]),
+				...majority.flatMap((other) => cutBoth(other, agent!.processId)),
+			];
+			const refused = fixture.change(former, 1, [drainOf('minority')], 'request-of-minority');
+			for (let revision = 1; revision <= 300; revision += 1) {
+				await fixture.changeSurely(majority, revision, `majority-${revision}`);
+			}
+			const answer = await refused;
+			t.true(answer.status >= 500, `the minority answered ${JSON.stringify(answer)}`);
+			await waitFor('the agent knows that its state is old', 10_000, () => agent!.client.ageMs() > 3000);
+			t.is(agent!.revision, 1);
+			const stale = await fixture.status(former);
+			t.true((stale.ageMs ?? Infinity) > 1000, `the keeper says ${stale.ageMs} ms`);
+			for (const cut of cuts) {
+				cut.dispose();
+			}
+			await fixture.waitInForce(301, [agent!]);
+			await waitFor(
+				'the former leader has caught up',
+				10_000,
+				async () => (await fixture.tables(former)).revision === 301,
+			);
+			t.false(agent!.wentBack);
+			const { changes } = await fixture.history(former);
+			t.false(changes.some((change) => change.requestId === 'request-of-minority'));
+		});
+	},
+);
