Ask every keeper before a revision is said to be in force everywhere

Cause: a keeper that another one can't reach, while both hear the leader, would have been left out with its subscribers once it had been silent for 5 s. Change: the command asks all keepers and counts each process as the keeper that heard it last says. Ruled out: relaying reports between keepers, which doubles their traffic for this one case.

--- a/src/operator/common/inForce.ts
+++ b/src/operator/common/inForce.ts
@@ -1,4 +1,4 @@
-/** Decides from a keeper's status whether a revision is in force in every live process. */
+/** Decides from the keepers' status whether a revision is in force in every live process. */
 
 import type { ProcessStatus, SystemStatus } from '../../protocol/common/operatorApi.js';
 
@@ -23,35 +23,54 @@
 }
 
 /**
- * Judges a status. A process whose lease has ended counts until the keeper forgets it, because it may still work
- * with older tables until it notices that they are too old.
+ * Judges what the keepers that answered know. Each process counts as the keeper that heard it last says. A process
+ * whose lease has ended counts until the keepers forget it, because it may still work with older tables until it
+ * notices that they are too old.
  *
  * @example
- * judgeInForce(status, 42).isEverywhere;
+ * judgeInForce(await client.statuses(), 42).isEverywhere;
  */
-export function judgeInForce(status: SystemStatus, revision: number): InForceReport {
-	const missing = status.processes.filter((process) => process.revisionInForce < revision).map(toMissing);
-	const doubts: string[] = [];
-	if (status.revision < revision) {
-		doubts.push(`The keeper ${status.keeperId} itself has only revision ${status.revision}.`);
-	}
-	if (!status.isSettled) {
-		const silent = status.silentKeepers.map((keeper) => `"${keeper}"`).join(', ');
-		doubts.push(
-			silent === ''
-				? `The keeper ${status.keeperId} has not run long enough to know every process.`
-				: `The keepers ${silent} do not report, so that their subscribers are unknown for now.`,
-		);
-	}
+export function judgeInForce(statuses: readonly SystemStatus[], revision: number): InForceReport {
+	const processes = joinProcesses(statuses);
+	const missing = processes.filter((process) => process.revisionInForce < revision).map(toMissing);
+	const doubts = findDoubts(statuses);
 	return {
 		revision,
 		isEverywhere: missing.length === 0 && doubts.length === 0,
-		inForce: status.processes.length - missing.length,
+		inForce: processes.length - missing.length,
 		missing,
 		doubts,
 	};
 }
 
+function joinProcesses(statuses: readonly SystemStatus[]): ProcessStatus[] {
+	const joined = new Map<string, ProcessStatus>();
+	for (const process of statuses.flatMap((status) => status.processes)) {
+		const other = joined.get(process.processId);
+		if (other === undefined || process.heardAgoMs < other.heardAgoMs) {
+			joined.set(process.processId, process);
+		}
+	}
+	return [...joined.values()].sort((a, b) => (a.processId < b.processId ? -1 : 1));
+}
+
+/** Looks for a keeper that knows every process, apart from those of keepers that answered themselves. */
+function findDoubts(statuses: readonly SystemStatus[]): string[] {
+	if (statuses.length === 0) {
+		return ['No keeper answered.'];
+	}
+	if (statuses.some((status) => status.isSettled)) {
+		return [];
+	}
+	const answering = new Set(statuses.map((status) => status.keeperId));
+	const silent = new Set(statuses.flatMap((status) => status.silentKeepers));
+	const unknown = [...silent].filter((keeper) => !answering.has(keeper)).map((keeper) => `"${keeper}"`);
+	if (unknown.length === 0) {
+		return [`The keepers ${[...answering].join(', ')} have not run long enough to know every process.`];
+	}
+	return [`The keepers ${unknown.join(', ')} do not report, so that their subscribers are unknown for now.`];
+}
+
 function toMissing({ processId, role, revisionInForce, isLive }: ProcessStatus): MissingProcess {
 	return { processId, role, revisionInForce, isLive };
 }
--- a/src/operator/node/applyOperation.ts
+++ b/src/operator/node/applyOperation.ts
@@ -116,10 +116,7 @@
 ): Promise<InForceReport> {
 	const untilMs = performance.now() + waitMs;
 	for (;;) {
-		const status = await client.status();
-		const report = status.isOk()
-			? judgeInForce(status.value, revision)
-			: { revision, isEverywhere: false, inForce: 0, missing: [], doubts: [status.error.message] };
+		const report = judgeInForce(await client.statuses(), revision);
 		if (report.isEverywhere || performance.now() > untilMs) {
 			return report;
 		}
--- a/src/operator/node/operatorClient.ts
+++ b/src/operator/node/operatorClient.ts
@@ -45,6 +45,9 @@
 /** Time that one keeper has for an answer: longer than a keeper waits for a commit. */
 const attemptTimeoutMs = 4000;
 
+/** Time that one keeper has to say what it knows; one that is stopped must not hold up the others. */
+const statusTimeoutMs = 500;
+
 const retryBackoff: BackoffOptions = { firstMs: 50, maxMs: 500 };
 
 /** One answer of one keeper. */
@@ -82,6 +85,18 @@
 		return (await this._read(operatorPaths.status)).map((body) => body as SystemStatus);
 	}
 
+	/** Asks every keeper once what it knows about the system, and returns the answers that came. */
+	async statuses(): Promise<SystemStatus[]> {
+		const asked = this._options.addresses.map((address) =>
+			this._askOne(address, 'GET', operatorPaths.status, undefined, statusTimeoutMs),
+		);
+		return (await Promise.all(asked))
+			.filter((answer) => answer.isOk())
+			.map((answer) => answer.value)
+			.filter((answer) => answer.status === 200)
+			.map((answer) => answer.body as SystemStatus);
+	}
+
 	/**
 	 * Asks for a change. When an answer is lost the request is sent again, to the next keeper, with the same request
 	 * id, so that it is carried out at most once.
@@ -134,11 +149,13 @@
 		method: 'GET' | 'POST',
 		path: string,
 		body: string | undefined,
+		timeoutMs = attemptTimeoutMs,
 	): Promise<Result<Answer, OperatorError>> {
 		try {
 			const response = await request(`http://${address}${path}`, {
 				method,
 				dispatcher: this._agent,
+				signal: AbortSignal.timeout(timeoutMs),
 				headers: {
 					authorization: `Bearer ${this._options.token}`,
 					...(body === undefined ? {} : { 'content-type': 'application/json' }),
