Prove three keepers' promises with real processes under single faults

One check of the first version was wrong: it read the history of the restarted keeper before that had caught up.

--- a/src/proof/test/keeperGroup.test.ts
+++ b/src/proof/test/keeperGroup.test.ts
@@ -73,18 +73,29 @@
 			const leader = await fixture.leader();
 			const survivors = others(fixture, leader);
 			const requestId = `request-of-round-${round}`;
-			const lost = fixture
-				.change(survivors[0]!, round, [drainOf(`round-${round}`)], requestId)
-				.catch(() => undefined);
+			const edits = [drainOf(`round-${round}`)];
+			const lost = fixture.change(survivors[0]!, round, edits, requestId).catch(() => undefined);
+			if (round % 2 === 1) {
+				// The answer counts as lost after the change was committed, else the leader dies under way.
+				await waitFor('the change is committed', 5000, async () => {
+					const { revision } = await fixture.tables(survivors[1]!);
+					return revision === round + 1;
+				});
+			}
 			await leader.kill();
 			const first = await lost;
-			let resent = await fixture.change(survivors[1]!, round, [drainOf(`round-${round}`)], requestId);
+			let resent = await fixture.change(survivors[1]!, round, edits, requestId);
 			for (let attempt = 0; resent.status >= 500 && attempt < 50; attempt += 1) {
-				resent = await fixture.change(survivors[1]!, round, [drainOf(`round-${round}`)], requestId);
+				resent = await fixture.change(survivors[1]!, round, edits, requestId);
 			}
 			t.like(resent.body, { outcome: 'accepted', revision: round + 1 }, JSON.stringify(first));
 			await leader.start();
 			await fixture.leader();
+			await waitFor(
+				'the former leader has caught up',
+				10_000,
+				async () => (await fixture.tables(leader)).revision === round + 1,
+			);
 			const { changes } = await fixture.history(leader);
 			t.is(changes.filter((change) => change.requestId === requestId).length, 1);
 		}
