Report the service-level burn from the entries

Cause: the burn report had counts to work on, but no entry counted.

Ruled out: serving counters to anybody. Readers reach the same address through the balancer, so /v1/stats and /v1/burn exist only with an operatorToken in the entry's settings, and need it. The check of the token, which the keepers had of their own, is one piece in platform now.

Change: each entry records the end of each job by route and minute and beats once a second; `yuccaarch burn` finds the entries through the keepers, reads their ledgers, names those that are silent, and prints text, JSON or a page.

--- a/src/bench/node/entryCounters.ts
+++ b/src/bench/node/entryCounters.ts
@@ -3,6 +3,7 @@
 import { request } from 'undici';
 import { z } from 'zod';
 import type { LocalEntry } from '../../proof/node/localDaemon.js';
+import { localOperatorToken } from '../../proof/node/localSystem.js';
 import type { MessageCounts } from '../common/benchSummary.js';
 
 const framesSchema = z.object({ frames: z.number(), items: z.number() });
@@ -25,7 +26,9 @@
 
 /** Reads the counters of one entry. */
 export async function readEntryCounters(entry: LocalEntry): Promise<EntryCounters> {
-	const response = await request(`${entry.url}/v1/stats`);
+	const response = await request(`${entry.url}/v1/stats`, {
+		headers: { authorization: `Bearer ${localOperatorToken}` },
+	});
 	return bodySchema.parse(await response.body.json()).counters;
 }
 
--- a/src/burn/common/outcomeRecorder.ts
+++ b/src/burn/common/outcomeRecorder.ts
@@ -75,7 +75,8 @@
 			const objectives = objectivesOf(route);
 			return objectives === undefined ? [] : [{ route, objectives, buckets: toBuckets(buckets) }];
 		});
-		return { ...this._source, readAtMs: this._wallClock(), seenSpans: [...this._seenSpans], routes };
+		const { processId, incarnation } = this._source;
+		return { processId, incarnation, readAtMs: this._wallClock(), seenSpans: [...this._seenSpans], routes };
 	}
 
 	private _forgetOld(nowMs: number): void {
--- a/src/code/node/commands/burnCommand.ts
+++ b/src/code/node/commands/burnCommand.ts
@@ -1,12 +1,57 @@
 /** `yuccaarch burn`: Prints the error budgets of the routes and how fast they burn. */
 
+import { writeFileSync } from 'node:fs';
 import { defineCommand } from 'citty';
+import { renderBurnPage } from '../../../burn/common/burnPage.js';
+import { computeBurn } from '../../../burn/common/burnReport.js';
+import { renderBurnText } from '../../../burn/common/burnText.js';
+import type { CommandResult } from '../../../operator/common/commandResult.js';
+import { operatorExitCodes } from '../../../operator/common/operatorExitCodes.js';
+import { describeError } from '../../../operator/node/applyOperation.js';
+import { readLedgers, type LedgerSource } from '../../../operator/node/ledgerReader.js';
+import type { OperatorClient } from '../../../operator/node/operatorClient.js';
+import type { SystemStatus } from '../../../protocol/common/operatorApi.js';
+import { connectionArguments, runOperatorCommand, tokenOf } from '../operator/operatorArguments.js';
 
 /** The command's definition. */
 export const burnCommand = defineCommand({
-	meta: { name: 'burn', description: 'Prints the error budgets of the routes and how fast they burn.' },
-	run: () => {
-		process.stderr.write('The command "burn" is not built yet.\n');
-		process.exitCode = 1;
+	meta: {
+		name: 'burn',
+		description:
+			'Prints the error budgets of the routes and how fast they burn, as the entries counted them. ' +
+			'Example: yuccaarch burn --operator 127.0.0.1:7100 --token TOKEN --html burn.html',
+	},
+	args: {
+		...connectionArguments,
+		entryToken: { type: 'string', description: "Operator token of the entries; the keepers' by default." },
+		html: { type: 'string', description: 'File to write the report to, as a page for a browser.' },
+	},
+	run: async ({ args }) => {
+		await runOperatorCommand(args, (client) =>
+			reportBurn(client, args.entryToken ?? tokenOf(args), args.html),
+		);
 	},
 });
+
+async function reportBurn(
+	client: OperatorClient,
+	token: string,
+	page: string | undefined,
+): Promise<CommandResult> {
+	const status = await client.status();
+	if (status.isErr()) {
+		return describeError(status.error);
+	}
+	const { ledgers, silentEntries } = await readLedgers(entriesOf(status.value), token);
+	const report = computeBurn(ledgers, silentEntries, Date.now());
+	if (page !== undefined) {
+		writeFileSync(page, String(await renderBurnPage(report)));
+	}
+	return { exitCode: operatorExitCodes.noChange, text: renderBurnText(report).trimEnd(), json: report };
+}
+
+function entriesOf(status: SystemStatus): LedgerSource[] {
+	return status.processes.flatMap(({ role, processId, httpAddress }) =>
+		role === 'entry' && httpAddress !== undefined ? [{ processId, httpAddress }] : [],
+	);
+}
--- a/src/code/node/operator/operatorArguments.ts
+++ b/src/code/node/operator/operatorArguments.ts
@@ -101,6 +101,19 @@
 	return Number(value);
 }
 
+/**
+ * The operator token that is given.
+ *
+ * @throws SettingsError when there is none
+ */
+export function tokenOf(values: ConnectionValues): string {
+	const token = values.token ?? process.env.YUCCAARCH_TOKEN;
+	if (token === undefined || token === '') {
+		throw argumentError('token', "Give the operatorToken of the keepers' settings.");
+	}
+	return token;
+}
+
 function createClient(values: ConnectionValues): OperatorClient {
 	const given = values.operator ?? process.env.YUCCAARCH_OPERATOR ?? '';
 	const addresses = given
@@ -116,11 +129,11 @@
 			throw argumentError('operator', message);
 		}
 	}
-	const token = values.token ?? process.env.YUCCAARCH_TOKEN;
-	if (token === undefined || token === '') {
-		throw argumentError('token', "Give the operatorToken of the keepers' settings.");
-	}
-	return new OperatorClient({ addresses, token, timeoutMs: parseCount('timeoutMs', values.timeoutMs) });
+	return new OperatorClient({
+		addresses,
+		token: tokenOf(values),
+		timeoutMs: parseCount('timeoutMs', values.timeoutMs),
+	});
 }
 
 function argumentError(key: string, message: string): SettingsError {
--- a/src/entry/common/entrySettings.ts
+++ b/src/entry/common/entrySettings.ts
@@ -40,6 +40,11 @@
 	keyRetentionMs: durationMsSchema
 		.default(600_000)
 		.describe('Time for which a finished submission is remembered by its idempotency key.'),
+	operatorToken: z
+		.string()
+		.min(16)
+		.optional()
+		.describe('Token for reading counters and the burn report; absent means that neither is served.'),
 	drainTimeoutMs: durationMsSchema
 		.default(30_000)
 		.describe('Time that a drain may take before the process gives up.'),
--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -8,7 +8,10 @@
 import { monotonicClock } from '../../base/common/clock.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { describeError } from '../../base/common/errors.js';
+import type { OutcomeLedger } from '../../burn/common/outcomeCounts.js';
+import { classifyOutcome, OutcomeRecorder } from '../../burn/common/outcomeRecorder.js';
 import type { ControlState, IControlPlane } from '../../control/common/controlPlane.js';
+import type { RouteObjectives } from '../../declarations/common/tables.js';
 import type { IDaemon } from '../../platform/daemon/node/daemon.js';
 import type { ILogService } from '../../platform/log/common/log.js';
 import { SettingsError } from '../../platform/settings/common/settingsError.js';
@@ -19,11 +22,13 @@
 } from '../../platform/transport/common/transport.js';
 import { formatAddress, parseAddress } from '../../platform/transport/node/address.js';
 import type { ConnectionOptions } from '../../platform/transport/node/frameConnection.js';
+import type { JobAnswer } from '../../protocol/common/jobs.js';
 import type { ClaimRequest, MemberStatus } from '../../protocol/common/keeperMessages.js';
 import { EntryCore } from '../common/entryCore.js';
 import type { EntrySettings } from '../common/entrySettings.js';
 import { createPolicy } from '../common/policies/createPolicy.js';
 import type { EntryInput, EntryOutputs } from '../common/tickTypes.js';
+import { createEntryOperatorApi } from './entryOperatorApi.js';
 import { PeerHub } from './peerHub.js';
 import { ReaderApi } from './readerApi.js';
 import { TickLoop } from './tickLoop.js';
@@ -33,6 +38,9 @@
 /** Time for which a stopping entry still answers, so that the balancer sees that it is not ready. */
 const drainNoticeMs = 300;
 
+/** Time between two beats of the outcome recorder. */
+const outcomeBeatMs = 1000;
+
 /** What an entry is started with. */
 export interface EntryDaemonOptions {
 	readonly settings: EntrySettings;
@@ -47,6 +55,7 @@
 	private readonly _core: EntryCore;
 	private readonly _api: ReaderApi;
 	private readonly _loop: TickLoop;
+	private readonly _outcomes: OutcomeRecorder;
 	private _isDraining = false;
 
 	private constructor(
@@ -83,15 +92,19 @@
 			{
 				tables: () => _control.state.tables,
 				notReadyReason: () => this._notReadyReason(),
-				stats: () => this._stats(),
+				recordOutcome: (route, answer, responseMs) => {
+					this._recordOutcome(route, answer, responseMs);
+				},
 				push: (input) => {
 					this._loop.push(input);
 				},
 			},
 			settings.maxBodyBytes,
 		);
+		this._outcomes = new OutcomeRecorder(_identity, Date.now);
 		this._serve();
 		this._followControl();
+		this._keepCounting();
 	}
 
 	/**
@@ -159,7 +172,10 @@
 	}
 
 	private _serve(): void {
-		const listener = getRequestListener(this._api.createApp().fetch, {});
+		const app = this._api.createApp();
+		const host = { stats: () => this._stats(), ledger: () => this._readLedger() };
+		app.route('/', createEntryOperatorApi(host, this._options.settings.operatorToken));
+		const listener = getRequestListener(app.fetch, {});
 		this._server.on('request', (request, response) => {
 			void listener(request, response);
 		});
@@ -231,6 +247,33 @@
 		return undefined;
 	}
 
+	/** Beats while the process is alive, so that the burn report knows which time it has not seen. */
+	private _keepCounting(): void {
+		const timer = setInterval(() => {
+			this._outcomes.beat();
+		}, outcomeBeatMs);
+		this._register(
+			toDisposable(() => {
+				clearInterval(timer);
+			}),
+		);
+	}
+
+	private _recordOutcome(route: string, answer: JobAnswer, responseMs: number): void {
+		const objectives = this._objectivesOf(route);
+		if (objectives !== undefined) {
+			this._outcomes.record(route, classifyOutcome({ ...answer, responseMs }, objectives));
+		}
+	}
+
+	private _readLedger(): OutcomeLedger {
+		return this._outcomes.read((route) => this._objectivesOf(route));
+	}
+
+	private _objectivesOf(route: string): RouteObjectives | undefined {
+		return this._control.state.tables.routes.find((row) => row.name === route)?.objectives;
+	}
+
 	private _stats(): object {
 		const { stats, jobs, epoch, revision, workers, pools } = this._core.tables;
 		const { user, system } = process.cpuUsage();
--- a/src/entry/node/readerApi.ts
+++ b/src/entry/node/readerApi.ts
@@ -17,8 +17,8 @@
 	tables(): Tables;
 	/** Whether the balancer should send readers here; a sentence when not. */
 	notReadyReason(): string | undefined;
-	/** Counters for operators. */
-	stats(): object;
+	/** Counts how a reader's job ended. */
+	recordOutcome(route: string, answer: JobAnswer, responseMs: number): void;
 	push(input: EntryInput): void;
 }
 
@@ -53,7 +53,6 @@
 			this._host.push({ kind: 'cancelJob', jobId: context.req.param('jobId') });
 			return context.body(null, 202);
 		});
-		app.get('/v1/stats', (context) => context.json(this._host.stats()));
 		app.get('/healthz', (context) => context.json({ status: 'alive' }));
 		app.get('/readyz', (context) => {
 			const reason = this._host.notReadyReason();
@@ -88,7 +87,9 @@
 			return toHttp(toErrorResponse(request.error));
 		}
 		const jobId = request.value.jobId ?? randomUUID();
+		const startedMs = performance.now();
 		const answer = await this._wait(context, jobId, toSubmission(request.value));
+		this._host.recordOutcome(request.value.route, answer, performance.now() - startedMs);
 		return toHttp(toResponse(jobId, answer));
 	}
 
--- a/src/entry/test/entryDaemon.test.ts
+++ b/src/entry/test/entryDaemon.test.ts
@@ -9,6 +9,7 @@
 import { FakeAgent, type EndTask } from './fakeAgent.js';
 import { FakeClaims, FakeControlPlane, testTables } from './fakeControlPlane.js';
 
+const operatorToken = 'an-operator-token';
 const secret = 'a-secret-for-this-test';
 
 const echo: EndTask = (_identity, payloadJson) => ({ state: 'done', resultJson: payloadJson, runMs: 1 });
@@ -28,6 +29,7 @@
 		processId,
 		dataCentre: 'dc-1',
 		sharedSecret: secret,
+		operatorToken,
 		httpAddress: '127.0.0.1:0',
 		peerAddress: '127.0.0.1:0',
 		keepers: [{ processId: 'keeper-1', address: '127.0.0.1:1' }],
@@ -77,7 +79,9 @@
 }
 
 async function stats(daemon: EntryDaemon): Promise<{ workers: number; openJobs: number }> {
-	const response = await request(`http://${daemon.httpAddress}/v1/stats`);
+	const response = await request(`http://${daemon.httpAddress}/v1/stats`, {
+		headers: { authorization: `Bearer ${operatorToken}` },
+	});
 	return (await response.body.json()) as { workers: number; openJobs: number };
 }
 
--- a/src/keeper/common/systemStatus.ts
+++ b/src/keeper/common/systemStatus.ts
@@ -72,6 +72,7 @@
 		rack: status.rack,
 		isDraining: status.isDraining,
 		pool: status.offer?.pool,
+		httpAddress: status.httpAddress,
 		keeperId,
 		revisionInForce: status.revisionInForce,
 		heardAgoMs: Math.round(nowMs - process.heardAtMs),
--- a/src/keeper/node/operatorServer.ts
+++ b/src/keeper/node/operatorServer.ts
@@ -1,6 +1,5 @@
 /** The operators' HTTP interface of a keeper. Reads are answered here; changes go through the replicated log. */
 
-import { createHash, timingSafeEqual } from 'node:crypto';
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { createAdaptorServer } from '@hono/node-server';
@@ -9,6 +8,7 @@
 import { describeError } from '../../base/common/errors.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import type { ILogService } from '../../platform/log/common/log.js';
+import { createTokenCheck } from '../../platform/http/node/operatorToken.js';
 import { formatAddress, parseAddress } from '../../platform/transport/node/address.js';
 import { TransportError } from '../../platform/transport/common/transport.js';
 import {
@@ -94,10 +94,9 @@
 
 function createApp(services: OperatorServices): Hono {
 	const app = new Hono();
-	const tokenDigest = digest(services.token);
+	const isAllowed = createTokenCheck(services.token);
 	app.use('*', async (context: Context, next) => {
-		const given = /^Bearer (.+)$/.exec(context.req.header('authorization') ?? '')?.[1] ?? '';
-		if (!timingSafeEqual(digest(given), tokenDigest)) {
+		if (!isAllowed(context.req.header('authorization'))) {
 			const message =
 				'The operator token is missing or wrong; give the operatorToken of the keeper settings.';
 			return sendError(context, 401, { error: 'unauthorized', message });
@@ -167,7 +166,3 @@
 ): Response {
 	return context.json(body, status);
 }
-
-function digest(text: string): Buffer {
-	return createHash('sha256').update(text).digest();
-}
--- /dev/null
+++ b/src/platform/http/node/operatorToken.ts
@@ -0,0 +1,23 @@
+/** Checks the token that operators send with each request. */
+
+import { createHash, timingSafeEqual } from 'node:crypto';
+
+/**
+ * Returns a check of `Authorization` headers. It takes the same time for every token, so that none can be guessed
+ * letter by letter.
+ *
+ * @example
+ * const isAllowed = createTokenCheck(settings.operatorToken);
+ * isAllowed('Bearer wrong'); // false
+ */
+export function createTokenCheck(token: string): (authorization: string | undefined) => boolean {
+	const expected = digest(token);
+	return (authorization) => {
+		const given = /^Bearer (.+)$/.exec(authorization ?? '')?.[1] ?? '';
+		return timingSafeEqual(digest(given), expected);
+	};
+}
+
+function digest(text: string): Buffer {
+	return createHash('sha256').update(text).digest();
+}
--- a/src/proof/node/localSystem.ts
+++ b/src/proof/node/localSystem.ts
@@ -285,6 +285,7 @@
 			peerAddress,
 			...(peerProxy === undefined ? {} : { advertisedPeerAddress: peerProxy.address }),
 			keepers: this._keeperEndpoints,
+			operatorToken: localOperatorToken,
 			...this._options.entrySettings,
 		});
 		const options = { name, role: 'entry', args: [file] } as const;
--- a/src/protocol/common/operatorApi.ts
+++ b/src/protocol/common/operatorApi.ts
@@ -78,6 +78,8 @@
 	readonly rack: string;
 	readonly isDraining: boolean;
 	readonly pool?: string | undefined;
+	/** Where an entry takes HTTP requests; absent for other roles. */
+	readonly httpAddress?: string | undefined;
 	/** Keeper that the process is subscribed to. */
 	readonly keeperId: string;
 	readonly revisionInForce: number;
