--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -25,6 +25,7 @@
 import type { JobAnswer } from '../../protocol/common/jobs.js';
 import type { ClaimRequest, MemberStatus } from '../../protocol/common/keeperMessages.js';
 import { EntryCore } from '../common/entryCore.js';
+import type { EntryStats } from '../common/entryStats.js';
 import type { EntrySettings } from '../common/entrySettings.js';
 import { createPolicy } from '../common/policies/createPolicy.js';
 import type { EntryInput, EntryOutputs } from '../common/tickTypes.js';
@@ -149,6 +150,11 @@
 		return formatAddress(address, port);
 	}
 
+	/** Counters since the start. */
+	get counters(): EntryStats {
+		return this._core.tables.stats;
+	}
+
 	/** Identity of this run. */
 	get incarnation(): string {
 		return this._identity.incarnation;
