--- a/src/agent/common/taskTable.ts
+++ b/src/agent/common/taskTable.ts
@@ -50,6 +50,7 @@
 	end: TaskEnd | undefined;
 	/** Entries that have not acknowledged the end yet. */
 	recipients: readonly Recipient[];
+	/** When the identity may be forgotten; 0 until the task has ended. */
 	forgetAtMs: number;
 }
 
@@ -149,7 +150,8 @@
 		record.state = end.state === 'notStarted' ? 'fenced' : end.state;
 		record.live = undefined;
 		record.end = end;
-		record.forgetAtMs = nowMs + this._retentionMs;
+		// A whole number is held in the record itself, a fraction in an object of its own.
+		record.forgetAtMs = Math.ceil(nowMs + this._retentionMs);
 		this._ended.add(record);
 		this._keptResultBytes += resultBytes(end);
 		for (const recipient of record.recipients) {
@@ -232,14 +234,15 @@
 			this._settle(earlier);
 		}
 		const record: TaskRecord = {
-			submissionId: identity.submissionId,
+			// Cut out of the key: the decoder's own string would keep the whole frame that it came in.
+			submissionId: key.slice(0, identity.submissionId.length),
 			taskIndex: identity.taskIndex,
 			state,
 			attempt,
 			live: undefined,
 			end: undefined,
 			recipients,
-			forgetAtMs: Infinity,
+			forgetAtMs: 0,
 		};
 		this._records.set(key, record);
 		return record;
--- a/src/agent/node/agentDaemon.ts
+++ b/src/agent/node/agentDaemon.ts
@@ -21,6 +21,8 @@
 /** Time that a drain waits for entries to acknowledge the last outcomes. */
 const drainAcknowledgeMs = 2000;
 const drainPollMs = 20;
+/** Time between signs of life to an entry; a third of the silence after which it would be missed. */
+const heartbeatIntervalMs = 500;
 /** Time between reports of levels to the metrics. */
 const levelsIntervalMs = 10_000;
 /** Longest time for which a timer is set. */
@@ -57,7 +59,8 @@
 		this._register(platform);
 		this._tables = new AgentTables({ ...settings, incarnation: identity.incarnation });
 		this._metrics = new AgentMetrics(_services.metrics, this._tables);
-		const connection = { identity, secret: settings.sharedSecret, limits: defaultConnectionLimits };
+		const limits = { ...defaultConnectionLimits, heartbeatIntervalMs };
+		const connection = { identity, secret: settings.sharedSecret, limits };
 		this._links = this._register(new EntryLinks(connection, log));
 		const levelsTimer = setInterval(() => {
 			this._metrics.sendLevels();
--- a/src/agent/node/announceServer.ts
+++ b/src/agent/node/announceServer.ts
@@ -2,7 +2,6 @@
 
 import { createAdaptorServer, type ServerType } from '@hono/node-server';
 import { Hono, type Context } from 'hono';
-import { bodyLimit } from 'hono/body-limit';
 import type { AddressInfo } from 'node:net';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { describeError } from '../../base/common/errors.js';
@@ -42,11 +41,7 @@
 	private constructor(private readonly _source: IUpstreamStatusSource) {
 		super();
 		const app = new Hono();
-		const limit = bodyLimit({
-			maxSize: maxBodyBytes,
-			onError: (context) => context.json({ error: `The body exceeds ${maxBodyBytes} bytes.` }, 413),
-		});
-		app.put('/v1/upstream', limit, (context) => this._announce(context));
+		app.put('/v1/upstream', (context) => this._announce(context));
 		app.delete('/v1/upstream', (context) => this._withdraw(context));
 		app.get('/v1/upstream', (context) => context.json(this._source.status()));
 		this._server = createAdaptorServer({ fetch: app.fetch });
@@ -87,6 +82,11 @@
 	}
 
 	private async _announce(context: Context): Promise<Response> {
+		// The length is checked by its header: reading the body as a stream would cost more than the rest of a renewal.
+		const bodyBytes = Number(context.req.header('content-length') ?? NaN);
+		if (!(bodyBytes <= maxBodyBytes)) {
+			return context.json({ error: `Give a content-length of at most ${maxBodyBytes} bytes.` }, 413);
+		}
 		const body = await readJson(context);
 		const parsed = announcementSchema.safeParse(body);
 		if (!parsed.success) {
