Agent: a stop has 3 s to be confirmed, and the drain test notices an early exit

Patching the drain's wait away went unnoticed, because the fake entry acknowledged nothing and the drain waited for that; it acknowledges now, and the patch is seen.

--- a/src/agent/common/systems/leaseSystem.ts
+++ b/src/agent/common/systems/leaseSystem.ts
@@ -8,7 +8,7 @@
 /** Leases shorter than this end without a checkpoint. */
 const minLeaseForCheckpointMs = 2000;
 /** Time that an upstream has to confirm a stop. */
-const stopGraceMs = 1000;
+const stopGraceMs = 3000;
 
 /** Checkpoints and stops tasks whose lease ends, and gives up those whose stop was not confirmed. */
 export function runLeases(tick: AgentTick): void {
--- a/src/agent/node/httpWorkerPlatform.ts
+++ b/src/agent/node/httpWorkerPlatform.ts
@@ -12,7 +12,7 @@
 /** Time for opening a connection on loopback. */
 const connectTimeoutMs = 1000;
 /** Time that an upstream has to answer anything but a start. */
-const controlTimeoutMs = 1000;
+const controlTimeoutMs = 3000;
 
 /** Limits of the platform. */
 export interface HttpWorkerPlatformOptions {
--- a/src/agent/test/agentHarness.ts
+++ b/src/agent/test/agentHarness.ts
@@ -149,6 +149,11 @@
 		return this.outcomes.filter((outcome) => taskKey(outcome) === key).map(({ end }) => end);
 	}
 
+	private _acknowledge(outcomes: readonly TaskOutcome[]): void {
+		const tasks = outcomes.map(({ submissionId, taskIndex }) => ({ submissionId, taskIndex }));
+		this.send({ kind: 'acknowledgeOutcomes', revision: 1, tasks });
+	}
+
 	private _receive(message: Message): void {
 		if (message.kind === 'agentState') {
 			this.states.push(message as AgentStateMessage);
@@ -156,6 +161,7 @@
 		if (message.kind === 'taskOutcomes') {
 			const { outcomes } = message as Message & { outcomes: readonly TaskOutcome[] };
 			this.outcomes.push(...outcomes);
+			this._acknowledge(outcomes);
 		}
 	}
 }
