Serve teams by arrival unless one floods

Change: max-min fair level over the demand of all teams in the last 4 s; a team above 1.5 times its level gets its weight's share, after the others have had the tasks that it was ahead by. Others go by arrival.

A test found that a team's place was taken by a job without tasks in line; it was red before the head was dropped.

--- a/src/entry/common/jobLife.ts
+++ b/src/entry/common/jobLife.ts
@@ -49,7 +49,7 @@
 export function enqueue(tables: EntryTables, job: JobRow): void {
 	job.enter('placing', tables.nowMs);
 	const weight = tables.teamRows.get(job.submission.team)?.weight ?? 1;
-	tables.poolOf(job.pool).enqueue(job, weight);
+	tables.poolOf(job.pool).enqueue(job, weight, tables.nowMs);
 	tables.changedJobs.add(job);
 }
 
--- a/src/entry/common/poolState.ts
+++ b/src/entry/common/poolState.ts
@@ -40,6 +40,12 @@
 	readonly teams = new Map<string, TeamQueue>();
 	/** Virtual time of the fair queue: rises with the work that was started. */
 	virtualTime = 0;
+	/** Virtual time of the teams that don't flood, together. */
+	orderlyVirtualTime = 0;
+	/** Whether such a team had tasks in line in the last tick. */
+	hadOrderlyWaiting = false;
+	/** Slots of the workers that could take starts in the last tick. */
+	slots = 1;
 	meanRunMs = 0;
 	runSamples = 0;
 	retryTokens = 10;
@@ -62,7 +68,7 @@
 	}
 
 	/** Puts a job's queued tasks in line. */
-	enqueue(job: JobRow, weight: number): void {
+	enqueue(job: JobRow, weight: number, nowMs: number): void {
 		const { team } = job.submission;
 		let queue = this.teams.get(team);
 		if (queue === undefined) {
@@ -70,14 +76,15 @@
 			this.teams.set(team, queue);
 		}
 		queue.weight = weight;
-		queue.push(job, this.virtualTime);
+		queue.demand.add(job.queuedCount * this.meanRunMs, this.slots, nowMs);
+		queue.push(job);
 		this.queuedTasks += job.queuedCount;
 	}
 
 	/** Puts one task of a job that was in line back in line. */
 	requeue(job: JobRow): void {
 		this.queuedTasks += 1;
-		this.teams.get(job.submission.team)?.push(job, this.virtualTime);
+		this.teams.get(job.submission.team)?.push(job);
 	}
 
 	/** Learns from a measured run time. */
--- a/src/entry/common/systems/placementSystem.ts
+++ b/src/entry/common/systems/placementSystem.ts
@@ -5,6 +5,7 @@
 import type { JobRow } from '../jobRow.js';
 import type { IWorkerChooser, PlacementPolicy } from '../policies/placementPolicy.js';
 import type { PoolState } from '../poolState.js';
+import { TeamOrder } from '../teamOrder.js';
 import type { TeamQueue } from '../teamQueue.js';
 import type { WorkerRow } from '../workerRow.js';
 import { teamShare } from './quotaSystem.js';
@@ -31,30 +32,26 @@
 			workers.push(worker);
 		}
 	}
+	pool.slots = Math.max(
+		1,
+		workers.reduce((sum, worker) => sum + (worker.offer?.slots ?? 0), 0),
+	);
 	sendProbes(tables, pool, workers);
 	const healthy = workers.filter((worker) => worker.health.state === 'healthy');
 	if (healthy.length === 0) {
 		return;
 	}
 	const chooser = policy.chooserFor(tables, pool, healthy);
-	const waiting = [...pool.teams.values()].filter((queue) => !queue.isEmpty);
-	for (let queue = nextTeam(waiting); queue !== undefined; queue = nextTeam(waiting)) {
-		if (!placeNext(tables, pool, queue, chooser)) {
-			waiting.splice(waiting.indexOf(queue), 1);
+	const order = new TeamOrder(pool, tables.nowMs);
+	for (let queue = order.next(); queue !== undefined; queue = order.next()) {
+		if (placeNext(tables, pool, queue, chooser)) {
+			order.charge(queue);
+		} else {
+			order.drop(queue);
 		}
 	}
 }
 
-function nextTeam(queues: readonly TeamQueue[]): TeamQueue | undefined {
-	let next: TeamQueue | undefined;
-	for (const queue of queues) {
-		if (next === undefined || queue.virtualTime < next.virtualTime) {
-			next = queue;
-		}
-	}
-	return next;
-}
-
 /** Places one task of a team. False when the team can place nothing more in this tick. */
 function placeNext(tables: EntryTables, pool: PoolState, queue: TeamQueue, chooser: IWorkerChooser): boolean {
 	if ((tables.runningByTeam.get(queue.team) ?? 0) >= teamShare(tables, queue.team)) {
@@ -78,7 +75,7 @@
 		if (!worker.health.isProbeDue(tables.nowMs) || worker.freeSlots(tables.nowMs) <= 0) {
 			continue;
 		}
-		const queue = nextTeam([...pool.teams.values()].filter((candidate) => !candidate.isEmpty));
+		const queue = new TeamOrder(pool, tables.nowMs).next();
 		const job = queue?.firstPossible((candidate) => worker.fitsNow(candidate.submission.needs));
 		if (queue === undefined || job === undefined) {
 			return;
@@ -115,6 +112,4 @@
 	tables.stats.startsSent += 1;
 	pool.queuedTasks -= 1;
 	pool.earnRetry();
-	pool.virtualTime = Math.max(pool.virtualTime, queue.virtualTime);
-	queue.charge();
 }
--- a/src/entry/common/teamQueue.ts
+++ b/src/entry/common/teamQueue.ts
@@ -1,5 +1,6 @@
 /** One team's jobs that wait in a pool's queue, oldest first. */
 
+import { DemandMeter } from './demandMeter.js';
 import type { JobRow } from './jobRow.js';
 
 /** Jobs that a team's head may be passed by when its needs fit no worker now. */
@@ -8,7 +9,11 @@
 /** Queue of one team in one pool. */
 export class TeamQueue {
 	weight = 1;
-	/** Virtual time at which the team's next task is due; the team with the least is served first. */
+	/** Work that the team asks of the pool. */
+	readonly demand = new DemandMeter();
+	/** Whether the team was found to flood the pool; see `TeamOrder`. */
+	isFlooding = false;
+	/** Tasks that were started for the team while it flooded, over its weight. */
 	virtualTime = 0;
 	private readonly _jobs: JobRow[] = [];
 
@@ -18,11 +23,14 @@
 		return this._jobs.length === 0;
 	}
 
-	/** Adds a job; one of which tasks came back goes first. A team that was idle starts at the pool's virtual time: idling earns no credit. */
-	push(job: JobRow, poolVirtualTime: number): void {
-		if (this.isEmpty) {
-			this.virtualTime = Math.max(this.virtualTime, poolVirtualTime);
-		}
+	/** When the team's oldest job with a task in line arrived, by the entry's clock. */
+	get headReceivedMs(): number {
+		this._dropHead();
+		return this._jobs[0]?.receivedMs ?? Infinity;
+	}
+
+	/** Adds a job; one of which tasks came back goes first. */
+	push(job: JobRow): void {
 		if (job.isInLine) {
 			return;
 		}
@@ -34,11 +42,6 @@
 		}
 	}
 
-	/** Takes account of one started task. */
-	charge(): void {
-		this.virtualTime += 1 / this.weight;
-	}
-
 	/** The oldest job with a queued task for which `isPossible` holds; one that needs much may be passed by a few. */
 	firstPossible(isPossible: (job: JobRow) => boolean): JobRow | undefined {
 		this._dropHead();
