Check what other processes send to a keeper before it reaches the log

Cause: a claim that is no object would have been proposed, and would have failed on every keeper that applies it, again after each restart. Change: schemas for subscribers' messages and keepers' reports; a malformed one closes its connection. Tests: malformed messages (red with the schema taken out: the connections stay open); under each single fault of a keeper no live entry leaves the directory; an entry that dies with its keeper leaves it; claims on three keepers; control traffic of an idle agent.

--- a/src/keeper/node/reportExchange.ts
+++ b/src/keeper/node/reportExchange.ts
@@ -6,7 +6,7 @@
 import type { IConnection, Message } from '../../platform/transport/common/transport.js';
 import type { ConnectionOptions } from '../../platform/transport/node/frameConnection.js';
 import { FrameConnector } from '../../platform/transport/node/frameConnector.js';
-import type { MemberReportsMessage } from '../../protocol/common/keeperMessages.js';
+import { memberReportsSchema } from '../../protocol/common/keeperMessageSchemas.js';
 import type { IReplicatedLog } from '../../replication/common/replicatedLog.js';
 import type { MemberRegistry } from '../common/memberRegistry.js';
 import { ReportWriter } from '../common/reportWriter.js';
@@ -140,12 +140,13 @@
 	}
 
 	private _receive(connection: IConnection, message: Message): void {
-		if (message.kind !== 'memberReports') {
+		const parsed = memberReportsSchema.safeParse(message);
+		if (!parsed.success) {
 			connection.dispose();
 			return;
 		}
 		const { registry, clock } = this._services;
-		const report = message as MemberReportsMessage;
+		const report = parsed.data;
 		const nowMs = clock.nowMs();
 		this._lastReportMs.set(connection.peer.processId, nowMs);
 		registry.takeReport(connection.peer.processId, report, nowMs);
--- a/src/keeper/node/subscriptionService.ts
+++ b/src/keeper/node/subscriptionService.ts
@@ -9,9 +9,9 @@
 import type {
 	KeeperLeavingMessage,
 	MemberStatus,
-	MemberToKeeperMessage,
 	SubscribeMessage,
 } from '../../protocol/common/keeperMessages.js';
+import { memberToKeeperSchema } from '../../protocol/common/keeperMessageSchemas.js';
 import type { KeeperStateMachine } from '../common/keeperStateMachine.js';
 import type { MemberRecord, MemberRegistry } from '../common/memberRegistry.js';
 import type { ClaimBatcher } from './claimBatcher.js';
@@ -87,19 +87,27 @@
 		}
 	}
 
-	private _receive(connection: IConnection, message: Message): void {
-		const known = message as MemberToKeeperMessage;
-		match(known)
-			.with({ kind: 'subscribe' }, (subscribe) => {
-				this._subscribe(connection, subscribe);
+	private _receive(connection: IConnection, received: Message): void {
+		const parsed = memberToKeeperSchema.safeParse(received);
+		if (!parsed.success) {
+			const { processId } = connection.peer;
+			const { kind } = received;
+			const reason = parsed.error.issues
+				.map((issue) => `${issue.path.join('.')}: ${issue.message}`)
+				.join('; ');
+			this._services.log.warn('subscriber.malformedMessage', { processId, kind, reason });
+			connection.dispose();
+			return;
+		}
+		match(parsed.data)
+			.with({ kind: 'subscribe' }, (message) => {
+				this._subscribe(connection, message);
 			})
 			.with({ kind: 'memberStatus' }, ({ status, probe }) => {
 				this._renew(connection, probe, status);
 			})
 			.with({ kind: 'renewLease' }, ({ probe, revisionInForce }) => {
-				const present = this._recordOf(connection)?.status;
-				const isSame = present?.revisionInForce === revisionInForce;
-				this._renew(connection, probe, isSame ? present : present && { ...present, revisionInForce });
+				this._renewUnchanged(connection, probe, revisionInForce);
 			})
 			.with({ kind: 'leave' }, () => {
 				this._leave(connection);
@@ -110,11 +118,16 @@
 			.with({ kind: 'releaseClaims' }, ({ claims }) => {
 				this._services.claims.release(connection, claims);
 			})
-			.otherwise(() => {
-				const { processId } = connection.peer;
-				this._services.log.warn('subscriber.unknownMessage', { processId, kind: message.kind });
-				connection.dispose();
-			});
+			.exhaustive();
+	}
+
+	/** Renews a lease whose status is as it was, but perhaps for the revision. */
+	private _renewUnchanged(connection: IConnection, probe: number, revisionInForce: number): void {
+		const status = this._recordOf(connection)?.status;
+		if (status !== undefined) {
+			const isSame = status.revisionInForce === revisionInForce;
+			this._renew(connection, probe, isSame ? status : { ...status, revisionInForce });
+		}
 	}
 
 	private _subscribe(connection: IConnection, message: SubscribeMessage): void {
@@ -139,10 +152,10 @@
 		this._onDidChangeMembers.fire(undefined);
 	}
 
-	private _renew(connection: IConnection, probe: number, status: MemberStatus | undefined): void {
+	private _renew(connection: IConnection, probe: number, status: MemberStatus): void {
 		const record = this._recordOf(connection);
 		const subscriber = this._subscribers.get(connection);
-		if (record === undefined || subscriber === undefined || status === undefined) {
+		if (record === undefined || subscriber === undefined) {
 			return;
 		}
 		this._services.registry.put({ ...record, heardAtMs: this._services.clock.nowMs(), status });
--- a/src/keeper/node/test/subscriptions.test.ts
+++ b/src/keeper/node/test/subscriptions.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
 import { waitFor } from '../../../base/common/async.js';
-import { drainChange, KeeperHarness, memberStatus } from './keeperHarness.js';
+import { defaultConnectionLimits, type Message } from '../../../platform/transport/common/transport.js';
+import { FrameConnector } from '../../../platform/transport/node/frameConnector.js';
+import { drainChange, KeeperHarness, memberStatus, secret } from './keeperHarness.js';
 
 async function withHarness(run: (harness: KeeperHarness) => Promise<void>): Promise<void> {
 	const harness = new KeeperHarness();
@@ -133,3 +135,39 @@
 		}
 	});
 });
+
+test('a malformed message closes its connection and reaches no keeper state', async (t) => {
+	await withHarness(async (harness) => {
+		const keeper = await harness.startKeeper('keeper-1');
+		const malformed: object[] = [
+			{ kind: 'claim', claims: [null] },
+			{ kind: 'claim', claims: [{ submissionId: 7, ownerId: 'entry-1', ownerIncarnation: '1' }] },
+			{ kind: 'claim', claims: 'all' },
+			{ kind: 'subscribe', revision: 0, epoch: 0, probe: 1, status: {} },
+			{ kind: 'renewLease', probe: 'now', revisionInForce: 0 },
+			{ kind: 'memberStatus', probe: 1 },
+			{ kind: 'nonsense' },
+		];
+		for (const [index, message] of malformed.entries()) {
+			const connector = harness.add(
+				new FrameConnector(keeper.daemon.peerAddress, {
+					identity: { role: 'entry', processId: `entry-${index}`, incarnation: '1' },
+					secret,
+					limits: defaultConnectionLimits,
+				}),
+			);
+			let isClosed = false;
+			connector.onDidConnect((connection) => {
+				connection.onDidClose(() => {
+					isClosed = true;
+				});
+				connection.send(message as Message);
+			});
+			await waitFor(`the connection with message ${index} is closed`, 3000, () => isClosed);
+			connector.dispose();
+		}
+		t.is(keeper.daemon.status().claims, 0);
+		const client = harness.startClient('agent-1', 'agent', [keeper]);
+		await waitFor('the keeper still serves', 3000, () => client.ageMs() < 300);
+	});
+});
--- a/src/proof/test/keeperGroup.test.ts
+++ b/src/proof/test/keeperGroup.test.ts
@@ -1,9 +1,15 @@
 /** Three keepers as real processes: races, resends, lost and stopped keepers, cuts, and how soon a change is in force. */
 
 import test from 'ava';
-import { waitFor } from '../../base/common/async.js';
+import { delay, waitFor } from '../../base/common/async.js';
 import type { LocalKeeper } from '../node/localDaemon.js';
-import { drainOf, quantile, withKeepers, type KeeperFixture } from './keeperFixture.js';
+import {
+	drainOf,
+	quantile,
+	withKeepers,
+	type KeeperFixture,
+	type WatchedSubscriber,
+} from './keeperFixture.js';
 
 const entries = 4;
 const agents = 40;
@@ -173,6 +179,13 @@
 				await fixture.subscribe(entries, 'entry');
 				await fixture.subscribe(agents, 'agent');
 				await measureChanges(fixture, fixture.keepers, 0, 3);
+				const watcher = fixture.subscribers.at(-1)!.client;
+				await waitFor(
+					'all entries are named',
+					5000,
+					() => watcher.state.directory.entries.length === entries,
+				);
+				const { epoch } = watcher.state.directory;
 				const heal = await fault.strike(fixture, struck);
 				const timesMs = await measureChanges(fixture, others(fixture, struck), 3, 10);
 				t.log(`in force after at most ${Math.max(...timesMs).toFixed(0)} ms`);
@@ -186,6 +199,7 @@
 					async () => (await fixture.tables(struck)).revision >= 23,
 				);
 				t.false(fixture.subscribers.some((subscriber) => subscriber.wentBack));
+				t.is(watcher.state.directory.epoch, epoch, 'no live entry was taken out of the directory');
 				const oldestMs = Math.max(...fixture.subscribers.map((subscriber) => subscriber.oldestMs));
 				t.log(`the state of a subscriber was at most ${oldestMs.toFixed(0)} ms old`);
 			});
@@ -232,3 +246,61 @@
 		});
 	},
 );
+
+test.serial('an entry that dies with its keeper leaves the directory, and no other one does', async (t) => {
+	await withKeepers({ keepers: 3 }, async (fixture) => {
+		const leader = await fixture.leader();
+		const subscribers = await fixture.subscribe(entries, 'entry');
+		const [agent] = await fixture.subscribe(1, 'agent');
+		const names = () => agent!.client.state.directory.entries.map((entry) => entry.processId);
+		await waitFor('all entries are named', 5000, () => names().length === entries);
+		const counts = [entries];
+		agent!.client.onDidChangeState((state) => counts.push(state.directory.entries.length));
+		subscribers[0]!.dispose();
+		await leader.kill();
+		await waitFor('the dead entry is gone', 15_000, () => names().length === entries - 1);
+		t.false(names().includes(subscribers[0]!.processId));
+		t.is(Math.min(...counts), entries - 1);
+	});
+});
+
+test.serial('three keepers record at least 5,000 durable claims a second', async (t) => {
+	await withKeepers({ keepers: 3 }, async (fixture) => {
+		await fixture.leader();
+		const subscribers = await fixture.subscribe(entries, 'entry');
+		const total = 20_000;
+		const inFlightEach = 500;
+		let next = 0;
+		const run = async ({ client, processId }: WatchedSubscriber): Promise<void> => {
+			while (next < total) {
+				next += 1;
+				const claim = { submissionId: `s-${next}`, ownerId: processId, ownerIncarnation: '1' };
+				t.is(await client.claim(claim, 10_000), 'granted');
+			}
+		};
+		const startedMs = performance.now();
+		await Promise.all(
+			subscribers.flatMap((subscriber) => Array.from({ length: inFlightEach }, () => run(subscriber))),
+		);
+		const perSecond = total / ((performance.now() - startedMs) / 1000);
+		t.log(`${Math.round(perSecond)} durable claims a second`);
+		t.true(perSecond >= 5000);
+	});
+});
+
+test.serial('an idle agent costs at most 1 KB a second of control traffic', async (t) => {
+	await withKeepers({ keepers: 1, proxies: ['keeperPeer'] }, async (fixture) => {
+		const count = 20;
+		const sampleMs = 4000;
+		await fixture.subscribe(count, 'agent');
+		const { peerProxy } = fixture.keepers[0]!;
+		const before = peerProxy!.counts;
+		await delay(sampleMs);
+		const after = peerProxy!.counts;
+		const perSecond = (bytes: number) => bytes / count / (sampleMs / 1000);
+		const toAgent = perSecond(after.bytesToClient - before.bytesToClient);
+		const fromAgent = perSecond(after.bytesToServer - before.bytesToServer);
+		t.log(`${toAgent.toFixed(0)} bytes/s to an idle agent, ${fromAgent.toFixed(0)} bytes/s from it`);
+		t.true(toAgent + fromAgent <= 1024);
+	});
+});
