Let operators change the group of keepers by command

Cause: a keeper under a new name, or one that is gone for good, could not be added or removed: the log had the change, operators had no way to ask for it. Change: POST /v1/members and the command member (add, promote, remove), one member a step. Tests: removal by command, and a lost disk, its repair and the loss of another disk with a subscriber attached.

--- a/src/code/node/main.ts
+++ b/src/code/node/main.ts
@@ -16,6 +16,7 @@
 		get: () => import('./commands/getCommand.js').then((module) => module.getCommand),
 		history: () => import('./commands/historyCommand.js').then((module) => module.historyCommand),
 		status: () => import('./commands/statusCommand.js').then((module) => module.statusCommand),
+		member: () => import('./commands/memberCommand.js').then((module) => module.memberCommand),
 		drain: () => import('./commands/drainCommand.js').then((module) => module.drainCommand),
 		burn: () => import('./commands/burnCommand.js').then((module) => module.burnCommand),
 		demo: () => import('./commands/demoCommand.js').then((module) => module.demoCommand),
--- a/src/code/node/operator/operatorArguments.ts
+++ b/src/code/node/operator/operatorArguments.ts
@@ -136,6 +136,7 @@
 	});
 }
 
-function argumentError(key: string, message: string): SettingsError {
+/** An argument that can't be used. */
+export function argumentError(key: string, message: string): SettingsError {
 	return new SettingsError([{ file: 'arguments', key: `--${key}`, message }]);
 }
--- a/src/keeper/common/changeRequestSchema.ts
+++ b/src/keeper/common/changeRequestSchema.ts
@@ -2,7 +2,8 @@
 
 import { z } from 'zod';
 import { tableEditSchema } from '../../declarations/common/tableSchemas.js';
-import type { ChangeRequest } from '../../protocol/common/operatorApi.js';
+import { addressSchema, nameSchema } from '../../platform/settings/common/settingsSchema.js';
+import type { ChangeRequest, MemberRequest } from '../../protocol/common/operatorApi.js';
 
 /** Edits in one change; a declaration of the two-year size has fewer rows. */
 const maxEdits = 5000;
@@ -15,6 +16,13 @@
 	edits: z.array(tableEditSchema).min(1).max(maxEdits),
 });
 
+/** What an operator sends to change the group of keepers. */
+export const memberRequestSchema: z.ZodType<MemberRequest> = z.discriminatedUnion('action', [
+	z.strictObject({ action: z.literal('add'), processId: nameSchema, address: addressSchema }),
+	z.strictObject({ action: z.literal('promote'), processId: nameSchema }),
+	z.strictObject({ action: z.literal('remove'), processId: nameSchema }),
+]);
+
 /**
  * Turns a schema's issues into one sentence each, with the field's path.
  *
--- a/src/keeper/node/operatorServer.ts
+++ b/src/keeper/node/operatorServer.ts
@@ -5,6 +5,7 @@
 import { createAdaptorServer } from '@hono/node-server';
 import { Hono, type Context } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
+import { match } from 'ts-pattern';
 import { describeError } from '../../base/common/errors.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import type { ILogService } from '../../platform/log/common/log.js';
@@ -15,12 +16,13 @@
 	operatorPaths,
 	type ChangeResult,
 	type HistoryBody,
+	type MemberRequest,
 	type OperatorErrorBody,
 	type SystemStatus,
 	type TablesBody,
 } from '../../protocol/common/operatorApi.js';
-import type { IReplicatedLog } from '../../replication/common/replicatedLog.js';
-import { changeRequestSchema, describeIssues } from '../common/changeRequestSchema.js';
+import type { IReplicatedLog, MemberChange } from '../../replication/common/replicatedLog.js';
+import { changeRequestSchema, describeIssues, memberRequestSchema } from '../common/changeRequestSchema.js';
 import { decodeValue, encodeValue } from '../common/keeperCommands.js';
 import type { KeeperStateMachine } from '../common/keeperStateMachine.js';
 
@@ -112,6 +114,7 @@
 	app.get(operatorPaths.changes, (context) => context.json(readHistory(services, context)));
 	app.get(operatorPaths.status, (context) => context.json(services.status()));
 	app.post(operatorPaths.changes, (context) => changeTables(services, context));
+	app.post(operatorPaths.members, (context) => changeMember(services, context));
 	app.notFound((context) => {
 		const message = `The path ${context.req.path} does not exist; see docs/OPERATORS-INTERFACE.md.`;
 		return sendError(context, 404, { error: 'notFound', message });
@@ -142,6 +145,36 @@
 	return context.json(result, result.outcome === 'accepted' || result.outcome === 'unchanged' ? 200 : 409);
 }
 
+async function changeMember(services: OperatorServices, context: Context): Promise<Response> {
+	const json: unknown = await context.req.json().catch(() => undefined);
+	const parsed = memberRequestSchema.safeParse(json);
+	if (!parsed.success) {
+		return sendError(context, 400, { error: 'badRequest', message: describeIssues(parsed.error) });
+	}
+	const answer = await services.log.changeMember(toMemberChange(parsed.data), proposeTimeoutMs);
+	if (answer.isOk()) {
+		const { action, processId } = parsed.data;
+		services.events.info('member.changed', { action, processId });
+		return context.json({ members: services.log.status.members });
+	}
+	const { errorKind, message } = answer.error;
+	const status = match(errorKind)
+		.with('refused', () => 409 as const)
+		.with('noLeader', () => 503 as const)
+		.with('unknown', () => 504 as const)
+		.exhaustive();
+	return sendError(context, status, { error: errorKind, message });
+}
+
+/** A new keeper's disk is left open: the group takes the one that the keeper reported when it asked to join. */
+function toMemberChange(request: MemberRequest): MemberChange {
+	if (request.action !== 'add') {
+		return request;
+	}
+	const { processId, address } = request;
+	return { action: 'addLearner', member: { processId, address, isVoter: false, diskId: '' } };
+}
+
 function logResult(events: ILogService, author: string, result: ChangeResult): void {
 	const revision = 'revision' in result ? result.revision : result.presentRevision;
 	events.info('tables.changeDecided', { outcome: result.outcome, revision, author });
@@ -161,7 +194,7 @@
 
 function sendError(
 	context: Context,
-	status: 400 | 401 | 404 | 413 | 500 | 503 | 504,
+	status: 400 | 401 | 404 | 409 | 413 | 500 | 503 | 504,
 	body: OperatorErrorBody,
 ): Response {
 	return context.json(body, status);
--- a/src/operator/node/operatorClient.ts
+++ b/src/operator/node/operatorClient.ts
@@ -10,6 +10,7 @@
 	type ChangeRequest,
 	type ChangeResult,
 	type HistoryBody,
+	type MemberRequest,
 	type OperatorErrorBody,
 	type SystemStatus,
 	type TablesBody,
@@ -113,6 +114,16 @@
 		return status === 200 || status === 409 ? Ok(body as ChangeResult) : Err(toError(status, body));
 	}
 
+	/** Changes the group of keepers by one member. A change that was made already is refused with that reason. */
+	async changeMember(change: MemberRequest): Promise<Result<undefined, OperatorError>> {
+		const answer = await this._ask('POST', operatorPaths.members, JSON.stringify(change));
+		if (answer.isErr()) {
+			return answer;
+		}
+		const { status, body } = answer.value;
+		return status === 200 ? Ok(undefined) : Err(toError(status, body));
+	}
+
 	private async _read(path: string): Promise<Result<unknown, OperatorError>> {
 		const answer = await this._ask('GET', path);
 		if (answer.isErr()) {
--- a/src/proof/test/keeperGroup.test.ts
+++ b/src/proof/test/keeperGroup.test.ts
@@ -1,5 +1,6 @@
 /** Three keepers as real processes: races, resends, lost and stopped keepers, cuts, and how soon a change is in force. */
 
+import { rmSync } from 'node:fs';
 import test from 'ava';
 import { delay, waitFor } from '../../base/common/async.js';
 import type { LocalKeeper } from '../node/localDaemon.js';
@@ -304,3 +305,47 @@
 		t.true(toAgent + fromAgent <= 1024);
 	});
 });
+
+test.serial(
+	'a keeper whose disk was lost rejoins, and the loss of another disk after it loses nothing',
+	async (t) => {
+		await withKeepers({ keepers: 3 }, async (fixture) => {
+			const [agent] = await fixture.subscribe(1, 'agent');
+			for (const [index, keeper] of fixture.keepers.slice(0, 2).entries()) {
+				await fixture.changeSurely(fixture.keepers, index, `before-loss-${index}`);
+				await keeper.kill();
+				rmSync(keeper.dataFolder, { recursive: true });
+				await keeper.start();
+				await waitFor('the keeper is a voter again and has caught up', 20_000, async () => {
+					const { members, revision } = await fixture.status(keeper);
+					return revision === index + 1 && members.length === 3 && members.every((member) => member.isVoter);
+				});
+			}
+			await fixture.changeSurely(fixture.keepers, 2, 'after');
+			await fixture.waitInForce(3, [agent!]);
+			const { drains } = await fixture.tables(fixture.keepers[1]!);
+			t.deepEqual(
+				drains.map((drain) => drain.name),
+				['after', 'before-loss-0', 'before-loss-1'],
+			);
+			t.false(agent!.wentBack);
+		});
+	},
+);
+
+test.serial('an operator removes a keeper by command, and a wrong action is named', async (t) => {
+	await withKeepers({ keepers: 3 }, async (fixture) => {
+		const leader = await fixture.leader();
+		const [removed] = others(fixture, leader);
+		const wrong = await fixture.system.runOperator('member', ['kick', removed!.name]);
+		t.is(wrong.exit.code, 2);
+		t.regex(wrong.errorText, /"kick" is not known; give add, promote or remove/);
+		const done = await fixture.system.runOperator('member', ['remove', removed!.name]);
+		t.is(done.exit.code, 10, done.errorText);
+		const { members } = await fixture.status(leader);
+		t.deepEqual(
+			members.map((member) => member.processId).sort(),
+			fixture.keepers.filter((keeper) => keeper !== removed).map((keeper) => keeper.name),
+		);
+	});
+});
--- a/src/protocol/common/operatorApi.ts
+++ b/src/protocol/common/operatorApi.ts
@@ -8,6 +8,7 @@
 	tables: '/v1/tables',
 	changes: '/v1/changes',
 	status: '/v1/status',
+	members: '/v1/members',
 } as const;
 
 /** A change that an operator asks for: a compare-and-set on the tables' revision. */
@@ -55,6 +56,12 @@
 	/** The request id was used before for other edits. */
 	| { readonly outcome: 'requestIdReused'; readonly presentRevision: number };
 
+/** A single-step change of the group of keepers. A new keeper is added first, and made a voter once it has caught up. */
+export type MemberRequest =
+	| { readonly action: 'add'; readonly processId: string; readonly address: string }
+	| { readonly action: 'promote'; readonly processId: string }
+	| { readonly action: 'remove'; readonly processId: string };
+
 /** An answer without a result of the tables: bad input, no leader, or a result that can't be known. */
 export interface OperatorErrorBody {
 	readonly error: 'unauthorized' | 'badRequest' | 'noLeader' | 'refused' | 'unknown' | 'notFound';
