An entry without fresh tables refuses as not run instead of denying a route

Seen red in kills.test.ts (badRequest 1 of 315 attempts) and by the first awaitWorkers after a restart.

--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -83,6 +83,7 @@
 			{
 				tables: () => _control.state.tables,
 				notReadyReason: () => this._notReadyReason(),
+				hasFreshTables: () => !this._core.tables.isStale,
 				stats: () => this._stats(),
 				push: (input) => {
 					this._loop.push(input);
--- a/src/entry/node/readerApi.ts
+++ b/src/entry/node/readerApi.ts
@@ -8,6 +8,7 @@
 import type { Tables } from '../../declarations/common/tables.js';
 import type { JobAnswer, JobSubmission } from '../../protocol/common/jobs.js';
 import { toErrorResponse, toResponse, type ResponseParts } from '../common/answerBody.js';
+import { staleTables } from '../common/systems/admissionSystem.js';
 import { parseJobRequest, type JobRequest } from '../common/jobRequest.js';
 import type { EntryInput, ReaderAnswer } from '../common/tickTypes.js';
 
@@ -17,6 +18,8 @@
 	tables(): Tables;
 	/** Whether the balancer should send readers here; a sentence when not. */
 	notReadyReason(): string | undefined;
+	/** Whether the tables are young enough to tell a reader what does not exist. */
+	hasFreshTables(): boolean;
 	/** Counters for operators. */
 	stats(): object;
 	push(input: EntryInput): void;
@@ -85,7 +88,9 @@
 		};
 		const request = parseJobRequest(raw, this._host.tables());
 		if (request.isErr()) {
-			return toHttp(toErrorResponse(request.error));
+			// A route that is not in old tables may have been accepted since.
+			const isUnsure = request.error.field === 'route' && !this._host.hasFreshTables();
+			return toHttp(isUnsure ? toResponse(randomUUID(), staleAnswer) : toErrorResponse(request.error));
 		}
 		const jobId = request.value.jobId ?? randomUUID();
 		const answer = await this._wait(context, jobId, toSubmission(request.value));
@@ -121,6 +126,8 @@
 /** Nobody reads this answer: its connection is gone. */
 const readerGone: JobAnswer = { status: 'notRun', reason: 'cancelled', message: 'The reader has gone.' };
 
+const staleAnswer: JobAnswer = { status: 'notRun', ...staleTables };
+
 function toHttp(parts: ResponseParts): Response {
 	return new Response(parts.body, { status: parts.status, headers: parts.headers });
 }
