--- a/src/proof/test/proofScenario.ts
+++ b/src/proof/test/proofScenario.ts
@@ -3,7 +3,8 @@
 import type { ExecutionContext } from 'ava';
 import { waitFor } from '../../base/common/async.js';
 import { rendezvousOrder } from '../../base/common/rendezvous.js';
-import type { LocalEntry } from '../node/localDaemon.js';
+import { startsOfJournals } from '../common/journalStarts.js';
+import type { LocalAgent, LocalEntry } from '../node/localDaemon.js';
 import type { LocalSystemOptions } from '../node/localSystem.js';
 import { ProofRun } from '../node/proofRun.js';
 import { ReaderLoad, type ReaderLoadOptions } from '../node/readerLoad.js';
@@ -112,3 +113,20 @@
 	}
 	return element;
 }
+
+/** How often upstreams have started a task so far. */
+export function startCount(run: ProofRun, token: string): number {
+	return startsOfJournals(run.system.readJournals()).filter((start) => start.token === token).length;
+}
+
+/** Waits until an upstream has started a task, and returns the agent beside it. */
+export async function startedAt(run: ProofRun, token: string): Promise<LocalAgent> {
+	const find = (): string | undefined =>
+		startsOfJournals(run.system.readJournals()).find((start) => start.token === token)?.upstream;
+	await waitFor(`the task ${token} has started`, progressTimeoutMs, () => find() !== undefined);
+	const agent = run.system.agents.find(({ upstream }) => upstream.name === find());
+	if (agent === undefined) {
+		throw new RangeError(`No agent has an upstream that started ${token}.`);
+	}
+	return agent;
+}
