--- a/src/proof/node/localDaemon.ts
+++ b/src/proof/node/localDaemon.ts
@@ -125,6 +125,8 @@
 		readonly announceAddress: string,
 		readonly pool: string,
 		readonly upstream: LocalUpstream,
+		/** Stands before {@link announceAddress} when the system was asked for proxies. */
+		readonly announceProxy: FaultProxy | undefined,
 	) {
 		super(options);
 	}
--- a/src/proof/node/localSystem.ts
+++ b/src/proof/node/localSystem.ts
@@ -21,7 +21,7 @@
 import { PreciseTimer } from './preciseTimer.js';
 
 /** Addresses before which a proxy can stand. */
-export type ProxiedAddress = 'keeperPeer' | 'entryPeer' | 'entryHttp';
+export type ProxiedAddress = 'keeperPeer' | 'entryPeer' | 'entryHttp' | 'announce';
 
 /** An agent and the stand-in upstream beside it. */
 export interface AgentPlan {
@@ -158,13 +158,15 @@
 	}
 
 	/**
-	 * Applies declaration files with the operators' command, and waits until they are in force everywhere.
+	 * Applies declaration files with the operators' command, and waits until they are in force everywhere,
+	 * or only until they are accepted.
 	 *
 	 * @returns what the command printed
 	 * @throws LocalProcessError when the command fails
 	 */
-	async apply(files: readonly string[]): Promise<string> {
-		const { exit, output, errorText } = await this.runOperator('apply', [...files, '--wait']);
+	async apply(files: readonly string[], { isWaiting } = { isWaiting: true }): Promise<string> {
+		const args = isWaiting ? [...files, '--wait'] : files;
+		const { exit, output, errorText } = await this.runOperator('apply', args);
 		if (exit.code !== operatorChangedCode && exit.code !== 0) {
 			const lines = [...output, errorText].join('\n');
 			throw new LocalProcessError(`"yuccaarch apply" ended with ${JSON.stringify(exit)}.\n${lines}`);
@@ -305,9 +307,10 @@
 			...this._options.agentSettings,
 			...plan.settings,
 		});
-		const upstream = this._createUpstream(plan, announceAddress, index);
+		const announceProxy = await this._createProxy('announce', announceAddress);
+		const upstream = this._createUpstream(plan, announceProxy?.address ?? announceAddress, index);
 		const options = { name, role: 'agent', args: [file] } as const;
-		return this._register(new LocalAgent(options, announceAddress, plan.pool, upstream));
+		return this._register(new LocalAgent(options, announceAddress, plan.pool, upstream, announceProxy));
 	}
 
 	private _createUpstream(plan: AgentPlan, announceAddress: string, index: number): LocalUpstream {
@@ -345,7 +348,7 @@
 			target,
 			timer: this._timer,
 			...(delays === undefined ? {} : { delays }),
-			...(place === 'entryHttp' ? {} : { identifyClient: identifyByHello }),
+			...(place === 'entryPeer' || place === 'keeperPeer' ? { identifyClient: identifyByHello } : {}),
 		});
 		return this._register(proxy);
 	}
--- a/src/proof/node/proofRun.ts
+++ b/src/proof/node/proofRun.ts
@@ -89,9 +89,9 @@
 		});
 	}
 
-	/** Tells the auditor that an upstream is leaving from now on. */
-	noteLeaving(upstream: string): void {
-		this._leavings.push({ upstream, leftAtMs: Date.now() });
+	/** Tells the auditor that an upstream is leaving since a wall-clock time. */
+	noteLeaving(upstream: string, leftAtMs: number): void {
+		this._leavings.push({ upstream, leftAtMs });
 	}
 
 	/** Tells the auditor that the keepers have accepted a change. */
--- a/src/proof/node/readerLoad.ts
+++ b/src/proof/node/readerLoad.ts
@@ -49,6 +49,7 @@
 	private readonly _answers: ReaderAnswer[] = [];
 	private readonly _arrivals: Promise<void>;
 	private _jobCount = 0;
+	private _isAbandoned = false;
 
 	constructor(
 		private readonly _readers: ReaderClient,
@@ -73,14 +74,15 @@
 		return this._answers;
 	}
 
-	/** Sends no more jobs, and lets those that are open end by themselves. */
+	/** Sends nothing more, and lets what is open end by itself. */
 	abandon(): void {
+		this._isAbandoned = true;
 		this._stopped.abort();
 	}
 
 	/** Sends no more jobs and waits for the answers of those that are open. */
 	async stop(): Promise<readonly ReaderAnswer[]> {
-		this.abandon();
+		this._stopped.abort();
 		await this._arrivals;
 		await Promise.all(this._open);
 		return this._answers;
@@ -142,8 +144,11 @@
 		const signal = leaveAfterMs === undefined ? undefined : AbortSignal.timeout(leaveAfterMs);
 		let answer = await this._readers.submit(this._pickTarget(), job, signal);
 		const most = job.key === undefined ? 0 : (this._options.resubmissions ?? 0);
-		for (let again = 0; again < most && isLost(answer); again += 1) {
+		for (let again = 0; again < most && isLost(answer) && !this._isAbandoned; again += 1) {
 			await delay(resubmitWaitMs);
+			if (this._options.targets().length === 0) {
+				break;
+			}
 			answer = await this._readers.submit(this._pickTarget(answer.entry), job);
 		}
 		this._answers.push(answer);
