--- a/src/entry/node/readerApi.ts
+++ b/src/entry/node/readerApi.ts
@@ -3,7 +3,6 @@
 import { createHash, randomUUID } from 'node:crypto';
 import type { HttpBindings } from '@hono/node-server';
 import { Hono, type Context } from 'hono';
-import { bodyLimit } from 'hono/body-limit';
 import { hash64Hex } from '../../base/common/rendezvous.js';
 import type { Tables } from '../../declarations/common/tables.js';
 import type { JobAnswer, JobSubmission } from '../../protocol/common/jobs.js';
@@ -11,6 +10,7 @@
 import { staleTables } from '../common/systems/admissionSystem.js';
 import { parseJobRequest, type JobRequest } from '../common/jobRequest.js';
 import type { EntryInput, ReaderAnswer } from '../common/tickTypes.js';
+import { readBody } from './readBody.js';
 
 /** What the HTTP interface sees of the entry. */
 export interface IReaderApiHost {
@@ -20,8 +20,8 @@
 	notReadyReason(): string | undefined;
 	/** Whether the tables are young enough to tell a reader what does not exist. */
 	hasFreshTables(): boolean;
-	/** Counters for operators. */
-	stats(): object;
+	/** Counts how a reader's job ended. */
+	recordOutcome(route: string, answer: JobAnswer, responseMs: number): void;
 	push(input: EntryInput): void;
 }
 
@@ -47,16 +47,11 @@
 	/** The routes. */
 	createApp(): Hono<Env> {
 		const app = new Hono<Env>();
-		const limit = bodyLimit({
-			maxSize: this._maxBodyBytes,
-			onError: () => toHttp(this._tooLarge()),
-		});
-		app.post('/v1/routes/:route/jobs', limit, (context) => this._submit(context));
+		app.post('/v1/routes/:route/jobs', (context) => this._submit(context));
 		app.delete('/v1/jobs/:jobId', (context) => {
 			this._host.push({ kind: 'cancelJob', jobId: context.req.param('jobId') });
 			return context.body(null, 202);
 		});
-		app.get('/v1/stats', (context) => context.json(this._host.stats()));
 		app.get('/healthz', (context) => context.json({ status: 'alive' }));
 		app.get('/readyz', (context) => {
 			const reason = this._host.notReadyReason();
@@ -80,11 +75,15 @@
 	}
 
 	private async _submit(context: Context<Env, '/v1/routes/:route/jobs'>): Promise<Response> {
+		const body = await readBody(context.env.incoming, this._maxBodyBytes);
+		if ('error' in body) {
+			return toHttp(this._tooLarge());
+		}
 		const raw = {
 			route: context.req.param('route'),
 			idempotencyKey: context.req.header('idempotency-key'),
 			jobId: context.req.header('job-id'),
-			body: await context.req.text(),
+			body: body.text,
 		};
 		const request = parseJobRequest(raw, this._host.tables());
 		if (request.isErr()) {
@@ -93,7 +92,9 @@
 			return toHttp(isUnsure ? toResponse(randomUUID(), staleAnswer) : toErrorResponse(request.error));
 		}
 		const jobId = request.value.jobId ?? randomUUID();
+		const startedMs = performance.now();
 		const answer = await this._wait(context, jobId, toSubmission(request.value));
+		this._host.recordOutcome(request.value.route, answer, performance.now() - startedMs);
 		return toHttp(toResponse(jobId, answer));
 	}
 
