--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -58,6 +58,8 @@
 	private readonly _loop: TickLoop;
 	private readonly _outcomes: OutcomeRecorder;
 	private _isDraining = false;
+	/** Kept, because a server that is closing has no address any more. */
+	private readonly _httpAddress: string;
 
 	private constructor(
 		private readonly _options: EntryDaemonOptions,
@@ -69,6 +71,8 @@
 	) {
 		super();
 		const { settings } = _options;
+		const bound = _server.address() as AddressInfo;
+		this._httpAddress = formatAddress(bound.address, bound.port);
 		this._register(_control);
 		this._register(_hub);
 		this._core = new EntryCore(
@@ -147,8 +151,7 @@
 
 	/** Address that readers use. */
 	get httpAddress(): string {
-		const { address, port } = this._server.address() as AddressInfo;
-		return formatAddress(address, port);
+		return this._httpAddress;
 	}
 
 	/** Counters since the start. */
--- /dev/null
+++ b/src/proof/node/soak.ts
@@ -0,0 +1,126 @@
+/** Runs a whole system under a seeded mix of faults, two at a time, and audits it. */
+
+import { delay, waitFor } from '../../base/common/async.js';
+import { SeededRandom } from '../../base/common/random.js';
+import type { AuditReport } from '../common/auditRecords.js';
+import { drawFault, type SoakFault } from '../common/soakPlan.js';
+import { ProofRun } from './proofRun.js';
+import { ReaderLoad } from './readerLoad.js';
+import { SoakFaults } from './soakFaults.js';
+
+/** What a soak is run with. */
+export interface SoakOptions {
+	readonly seconds: number;
+	readonly seed: number;
+	readonly jobsPerSecond: number;
+}
+
+/** What a soak found. */
+export interface SoakReport {
+	readonly seed: number;
+	readonly seconds: number;
+	readonly jobs: number;
+	/** Faults by their kind. */
+	readonly faults: Readonly<Record<string, number>>;
+	readonly audit: AuditReport;
+	/** Processes that did not drain, or entries that did not serve again, as sentences. */
+	readonly failures: readonly string[];
+}
+
+/** Faults that are active at the same time. */
+const lanes = 2;
+
+const recoveryTimeoutMs = 30_000;
+
+/**
+ * Runs one soak.
+ *
+ * @example
+ * const report = await runSoak({ seconds: 60, seed: 7, jobsPerSecond: 80 });
+ */
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+	const run = await ProofRun.start({
+		keepers: 3,
+		entries: 3,
+		agents: ['ledger', 'ledger', 'ledger', 'response', 'response', 'response'].map((pool) => ({ pool })),
+		dataCentres: 3,
+		proxies: ['entryPeer', 'keeperPeer'],
+	});
+	try {
+		return await soakSystem(run, options);
+	} finally {
+		await run.close();
+	}
+}
+
+async function soakSystem(run: ProofRun, options: SoakOptions): Promise<SoakReport> {
+	const { seed, seconds, jobsPerSecond } = options;
+	const faults = new SoakFaults(run);
+	const load = new ReaderLoad(run.readers, {
+		seed,
+		jobsPerSecond,
+		routes: [
+			{ route: 'consignment-status', team: 'galleries', isKeyed: false },
+			{ route: 'provenance-clearance', team: 'estates', isKeyed: true },
+			{ route: 'summons-check', team: 'citizens', isKeyed: true },
+			{ route: 'excusal-filing', team: 'citizens', isKeyed: true },
+		],
+		tasks: { least: 1, most: 8 },
+		runMs: { least: 10, most: 300 },
+		deadlineMs: 5000,
+		leavingShare: 0.02,
+		resubmissions: 3,
+		targets: () => faults.servingEntries(),
+	});
+	const untilMs = performance.now() + seconds * 1000;
+	const counts: Record<string, number> = {};
+	await Promise.all(
+		Array.from({ length: lanes }, (_, lane) =>
+			runLane(faults, new SeededRandom(seed * lanes + lane), untilMs, counts),
+		),
+	);
+	const failures = await recover(run);
+	await load.stop();
+	failures.push(...faults.failures, ...(await drain(run)));
+	return { seed, seconds, jobs: load.jobCount, faults: counts, audit: run.audit(), failures };
+}
+
+async function runLane(
+	faults: SoakFaults,
+	random: SeededRandom,
+	untilMs: number,
+	counts: Record<string, number>,
+): Promise<void> {
+	while (performance.now() < untilMs) {
+		const fault: SoakFault = drawFault(random);
+		if (await faults.inject(fault)) {
+			counts[fault.kind] = (counts[fault.kind] ?? 0) + 1;
+		}
+		await delay(fault.pauseMs);
+	}
+}
+
+/** Waits until every entry serves each pool again. */
+async function recover(run: ProofRun): Promise<string[]> {
+	const failures: string[] = [];
+	for (const entry of run.system.entries) {
+		try {
+			await waitFor(`${entry.name} serves again`, recoveryTimeoutMs, async () => {
+				await run.awaitWorkers(entry);
+				return true;
+			});
+		} catch (error) {
+			failures.push(error instanceof Error ? error.message : String(error));
+		}
+	}
+	return failures;
+}
+
+async function drain(run: ProofRun): Promise<string[]> {
+	try {
+		await run.system.drain();
+		return [];
+	} catch (error) {
+		return [error instanceof Error ? error.message : String(error)];
+	}
+}
