Fence each task up to its own attempt, and ignore refusals of earlier attempts

After a connection between agent and entry broke or was cut, a pool placed nothing any more until the next change of the directory.

Cause: one fence message for all tasks of a session carried the greatest attempt of any of them, so a task with a smaller one was fenced beyond its next placement. The agent refused that as fenced, and the home took this as another home's question and waited for a newer directory. Ruled out: lost connections (the agents had logged entry.connected) and leaked slots.

Now a message goes out for each attempt. Besides, a refusal that names an earlier attempt than the present placement is ignored, as agentMessages.ts asks of a sender; it could end a placement that had started.

--- a/src/entry/common/outbox.ts
+++ b/src/entry/common/outbox.ts
@@ -11,9 +11,8 @@
 class SessionOutbox {
 	readonly starts = new Map<JobRow, StartBatch & { readonly tasks: TaskStart[] }>();
 	readonly cancels: TaskIdentity[] = [];
-	readonly fences: TaskIdentity[] = [];
-	/** Attempts of the tasks up to which the fences hold. */
-	fenceAttempt = 0;
+	/** Questions by the attempt up to which they fence: a fence that holds further would refuse this entry's next start. */
+	readonly fences = new Map<number, TaskIdentity[]>();
 	readonly acknowledgements: TaskIdentity[] = [];
 	readonly relayedJobs: JobSubmission[] = [];
 	readonly relayedAnswers: RelayAnswer[] = [];
@@ -40,9 +39,10 @@
 
 	/** Asks about a task, and fences it up to an attempt. */
 	fence(sessionId: number, identity: TaskIdentity, attempt: number): void {
-		const session = this.to(sessionId);
-		session.fences.push(identity);
-		session.fenceAttempt = Math.max(session.fenceAttempt, attempt);
+		const { fences } = this.to(sessionId);
+		const tasks = fences.get(attempt) ?? [];
+		tasks.push(identity);
+		fences.set(attempt, tasks);
 	}
 
 	/** Adds a task to the start frame of a session. */
@@ -92,10 +92,9 @@
 	private _agentMessagesOf(session: SessionOutbox, revision: number, epoch: number): EntryToAgentMessage[] {
 		const stats = this._stats;
 		const messages: EntryToAgentMessage[] = [];
-		if (session.fences.length > 0) {
-			const { fenceAttempt: attempt } = session;
-			stats.countWasted('fences', session.fences.length);
-			messages.push({ kind: 'fenceTasks', revision, epoch, attempt, tasks: session.fences });
+		for (const [attempt, tasks] of session.fences) {
+			stats.countWasted('fences', tasks.length);
+			messages.push({ kind: 'fenceTasks', revision, epoch, attempt, tasks });
 		}
 		if (session.cancels.length > 0) {
 			stats.countWasted('cancels', session.cancels.length);
--- a/src/entry/common/systems/outcomeSystem.ts
+++ b/src/entry/common/systems/outcomeSystem.ts
@@ -72,6 +72,9 @@
 	outputs: EntryOutputs,
 ): void {
 	const key = taskKey({ submissionId, taskIndex });
+	if (isOfEarlierAttempt(worker.assigned.get(key), end)) {
+		return;
+	}
 	const task = worker.release(key);
 	if (task === undefined) {
 		applySearched(tables, worker, key, end);
@@ -89,6 +92,16 @@
 	applyEnd(tables, worker, task, end);
 }
 
+/** A refusal of an earlier placement, asked about twice, says nothing about the present one. */
+function isOfEarlierAttempt(task: AssignedTask | undefined, end: TaskEnd): boolean {
+	return (
+		task !== undefined &&
+		end.state === 'notStarted' &&
+		end.attempt !== undefined &&
+		end.attempt < task.attempt
+	);
+}
+
 /** Takes the answer to a search. */
 function applySearched(tables: EntryTables, worker: WorkerRow, key: string, end: TaskEnd): void {
 	const task = worker.searched.get(key);
