--- /dev/null
+++ b/src/replication/test/measureReplication.ts
@@ -0,0 +1,93 @@
+/**
+ * Measures the replicated log on this machine: `node out/replication/test/measureReplication.js`. All keepers share
+ * this one process, over loopback, with real files in the temporary folder.
+ */
+
+import type { FileHandle } from 'node:fs/promises';
+import { delay, waitFor } from '../../base/common/async.js';
+import { TestGroup, type OptionChanges, type TestKeeper } from './testKeepers.js';
+
+const runMs = 5000;
+const commandBytes = 120;
+const addedSyncMs = 3;
+
+async function slowSync(handle: FileHandle): Promise<void> {
+	await handle.datasync();
+	await delay(addedSyncMs);
+}
+
+async function proposeFor(
+	keeper: TestKeeper,
+	inFlight: number,
+): Promise<{ count: number; waitsMs: number[] }> {
+	const command = Buffer.alloc(commandBytes, 'x');
+	const untilMs = performance.now() + runMs;
+	const waitsMs: number[] = [];
+	const proposer = async () => {
+		while (performance.now() < untilMs) {
+			const startMs = performance.now();
+			(await keeper.running.propose(command, 10_000)).unwrap();
+			waitsMs.push(performance.now() - startMs);
+		}
+	};
+	await Promise.all(Array.from({ length: inFlight }, proposer));
+	return { count: waitsMs.length, waitsMs };
+}
+
+function quantile(values: readonly number[], share: number): number {
+	const sorted = [...values].sort((left, right) => left - right);
+	return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0;
+}
+
+function print(line: string): void {
+	process.stdout.write(`${line}\n`);
+}
+
+async function measureThroughput(
+	size: number,
+	inFlight: number,
+	name: string,
+	changes: OptionChanges,
+): Promise<void> {
+	const group = await TestGroup.start(size, changes);
+	const leader = await group.leader();
+	await group.propose(leader, 'warm');
+	const { count, waitsMs } = await proposeFor(leader, inFlight);
+	const perSecond = Math.round((count * 1000) / runMs);
+	const [p50, p99] = [quantile(waitsMs, 0.5).toFixed(1), quantile(waitsMs, 0.99).toFixed(1)];
+	print(
+		`${size} keepers, ${inFlight} in flight, ${name}: ${perSecond} commands/s, p50 ${p50} ms, p99 ${p99} ms`,
+	);
+	await group.stop();
+}
+
+async function measureElections(repeats: number): Promise<void> {
+	const group = await TestGroup.start(3);
+	const timesMs: number[] = [];
+	for (let repeat = 0; repeat < repeats; repeat += 1) {
+		const leader = await group.leader();
+		await group.propose(leader, `value-${repeat}`);
+		const others = await group.followers();
+		const startMs = performance.now();
+		const stopping = leader.stop();
+		await waitFor('another keeper has committed an entry of its own', 10_000, () =>
+			others.some(({ log }) => log?.status.role === 'leader' && log.ageMs() < 200),
+		);
+		timesMs.push(performance.now() - startMs);
+		await stopping;
+		await leader.restart(group.members);
+		await waitFor('the keeper is back', 10_000, () => leader.running.ageMs() < 500);
+	}
+	const [p50, max] = [quantile(timesMs, 0.5).toFixed(0), Math.max(...timesMs).toFixed(0)];
+	print(`new leader after the loss of one, ${repeats} times: p50 ${p50} ms, longest ${max} ms`);
+	await group.stop();
+}
+
+const slow: OptionChanges = { syncFile: slowSync };
+await measureThroughput(1, 1, 'plain sync', {});
+await measureThroughput(1, 512, 'plain sync', {});
+await measureThroughput(1, 512, `${addedSyncMs} ms added to each sync`, slow);
+await measureThroughput(3, 1, 'plain sync', {});
+await measureThroughput(3, 512, 'plain sync', {});
+await measureThroughput(3, 512, `${addedSyncMs} ms added to each sync`, slow);
+await measureElections(20);
