Close early connections in the keeper of the fault point test as the daemon does

The child listened before its log was open and dropped what came meanwhile; the peers kept the dead connection.

--- a/src/replication/test/faultChild.ts
+++ b/src/replication/test/faultChild.ts
@@ -26,6 +26,10 @@
 const options = createOptions(plan.processId, plan.address, plan.dataFolder, plan.members, machine);
 const { identity, secret, limits } = options.connection;
 const listener = await FrameListener.listen(plan.address, { identity, secret, limits });
+// As in the daemon: nobody handles messages before the log is open, and peers connect again.
+const refusing = listener.onDidConnect((connection) => {
+	connection.dispose();
+});
 let hasAcknowledged = false;
 let visits = 0;
 
@@ -47,6 +51,7 @@
 		}
 	},
 });
+refusing.dispose();
 listener.onDidConnect((connection) => {
 	log.acceptPeer(connection);
 });
