Agent: notStarted is told only on the connection that asked

Cause: found by reading the entry against the agent. After a reconnect the agent told unacknowledged refusals again by itself, while the entry asks by fenceTasks as well: of the two answers to one attempt, the second could arrive when the entry had sent a later attempt, and be taken for its refusal, so that the task was placed twice. The answer names its attempt, but an entry that doesn't compare it (today's) would start the task twice. Change: a refusal is told once, on the connection on which the entry asked last; results are still told again. Ruled out: resending with the attempt alone, since it rests on every entry comparing it.

--- a/src/agent/common/systems/entryMessageSystem.ts
+++ b/src/agent/common/systems/entryMessageSystem.ts
@@ -167,7 +167,9 @@
 		return;
 	}
 	if (record.end !== undefined) {
-		tasks.addRecipient(record, entry);
+		if (record.end.state !== 'notStarted') {
+			tasks.addRecipient(record, entry);
+		}
 		tick.reply(entry.connectionId, { ...identityOf(record), end: record.end });
 		return;
 	}
@@ -225,7 +227,9 @@
 	if (record.state === 'fenced' && attempt > record.attempt) {
 		record.attempt = attempt;
 		// An end that is still to be acknowledged must speak for the greater attempt as well.
-		record.end &&= notStartedEnd(record, 'fenced');
+		if (record.end?.state === 'notStarted') {
+			record.end = notStartedEnd(record, record.end.reason);
+		}
 	}
 	answerKnown(tick, entry, record);
 }
--- a/src/agent/common/systems/outcomeSystem.ts
+++ b/src/agent/common/systems/outcomeSystem.ts
@@ -1,4 +1,9 @@
-/** Tells entries how tasks ended: one frame an entry a tick, and everything unacknowledged after a reconnect. */
+/**
+ * Tells entries how tasks ended: one frame an entry a tick, and after a reconnect every end that was not acknowledged.
+ *
+ * A `notStarted` is told once, on the connection on which the entry asked last. Were it sent on another unasked, it could
+ * cross a later attempt of the same task that the entry has sent in the meantime, and be taken for its refusal.
+ */
 
 import type { TaskOutcome } from '../../../protocol/common/agentMessages.js';
 import type { AgentTick, EntryRow } from '../agentTables.js';
@@ -12,7 +17,9 @@
 export function runOutcomes(tick: AgentTick): void {
 	for (const entry of tick.connected) {
 		for (const record of tick.tables.tasks.unacknowledgedOf(entry)) {
-			reply(tick, entry, record);
+			if (record.end?.state !== 'notStarted') {
+				reply(tick, entry, record);
+			}
 		}
 	}
 	if (tick.ended.size > 0) {
@@ -35,7 +42,8 @@
 	for (const record of tick.ended) {
 		for (const recipient of record.recipients) {
 			const entry = entries.get(recipientKey(recipient));
-			if (entry !== undefined) {
+			const isAsked = entry?.connectionId === recipient.connectionId;
+			if (entry !== undefined && (isAsked || record.end?.state !== 'notStarted')) {
 				reply(tick, entry, record);
 			}
 		}
@@ -43,8 +51,13 @@
 }
 
 function reply(tick: AgentTick, entry: EntryRow, record: TaskRecord): void {
-	if (record.end !== undefined) {
-		tick.reply(entry.connectionId, { ...identityOf(record), end: record.end });
+	const { end } = record;
+	if (end === undefined) {
+		return;
+	}
+	tick.reply(entry.connectionId, { ...identityOf(record), end });
+	if (end.state === 'notStarted') {
+		tick.tables.tasks.acknowledge(record, entry);
 	}
 }
 
--- a/src/agent/common/taskTable.ts
+++ b/src/agent/common/taskTable.ts
@@ -7,6 +7,8 @@
 export interface Recipient {
 	readonly entryId: string;
 	readonly incarnation: string;
+	/** Connection on which it last asked about the task. */
+	readonly connectionId: number;
 }
 
 /** What is known of a task until it has ended. */
@@ -57,13 +59,13 @@
 const noRecipients: readonly Recipient[] = [];
 
 /** Text form of a recipient, for maps. */
-export function recipientKey(recipient: Recipient): string {
+export function recipientKey(recipient: Pick<Recipient, 'entryId' | 'incarnation'>): string {
 	return `${recipient.entryId}/${recipient.incarnation}`;
 }
 
 /** Copies only the recipient, so that a record does not hold on to the row of a connection. */
-function toRecipient({ entryId, incarnation }: Recipient): Recipient {
-	return { entryId, incarnation };
+function toRecipient({ entryId, incarnation, connectionId }: Recipient): Recipient {
+	return { entryId, incarnation, connectionId };
 }
 
 function isSameRecipient(left: Recipient, right: Recipient): boolean {
@@ -165,10 +167,8 @@
 
 	/** Adds an entry that is to be told how the task ended. */
 	addRecipient(record: TaskRecord, recipient: Recipient): void {
-		if (record.recipients.some((known) => isSameRecipient(known, recipient))) {
-			return;
-		}
-		record.recipients = [...record.recipients, toRecipient(recipient)];
+		const others = record.recipients.filter((known) => !isSameRecipient(known, recipient));
+		record.recipients = [...others, toRecipient(recipient)];
 		if (record.end !== undefined) {
 			this._index(record, recipient);
 		}
--- a/src/protocol/common/agentMessages.ts
+++ b/src/protocol/common/agentMessages.ts
@@ -164,7 +164,10 @@
 	readonly end: TaskEnd;
 }
 
-/** Tells the entry that sent the starts how tasks ended. */
+/**
+ * Tells the entry that sent the starts how tasks ended. After a reconnect, ends that were not acknowledged are told
+ * again, but for `notStarted`: an entry asks by `fenceTasks` what became of tasks whose answers may be lost.
+ */
 export interface TaskOutcomesMessage {
 	readonly kind: 'taskOutcomes';
 	readonly revision: number;
