--- a/src/entry/common/entryCore.ts
+++ b/src/entry/common/entryCore.ts
@@ -17,6 +17,7 @@
 import { mayGoOn, stopLateHandOvers, takeEarlyHandOver } from './systems/handOverSystem.js';
 import { acknowledgeOldOutcomes, applyOutcomes } from './systems/outcomeSystem.js';
 import { placeTasks } from './systems/placementSystem.js';
+import { divideQuotas } from './systems/quotaSystem.js';
 import { applyEntryMessage } from './systems/relaySystem.js';
 import {
 	applyClaim,
@@ -105,6 +106,7 @@
 			.with({ kind: 'controlState' }, ({ state }) => {
 				const hasMissed = applyControlState(tables, state);
 				tables.mayHomesHaveMoved = true;
+				divideQuotas(tables, this._policy.usesHome);
 				this._followHomes(context, hasMissed);
 			})
 			.with({ kind: 'peerOpened' }, ({ sessionId, peer }) => {
--- a/src/entry/common/entryTables.ts
+++ b/src/entry/common/entryTables.ts
@@ -14,6 +14,12 @@
 import { RouteState } from './routeState.js';
 import type { WorkerRow } from './workerRow.js';
 
+/** How team quotas are divided among entries. */
+export interface QuotaParts {
+	readonly count: number;
+	readonly index: number;
+}
+
 /** What the core takes from the process's settings. */
 export interface EntryCoreOptions {
 	readonly processId: string;
@@ -60,6 +66,8 @@
 	readonly deadlines = new DeadlineQueue();
 	/** Jobs that wait for a home or for a takeover. */
 	readonly waitingJobs = new Set<JobRow>();
+	/** Entries that share the team quotas, and this entry's place among them. */
+	quotaParts: QuotaParts = { count: 1, index: 0 };
 	/** Jobs that wait until a new home has taken a hand-over. */
 	readonly handedOverJobs = new Set<JobRow>();
 	/** Whether a relayed job's home may have moved or come back since the last tick. */
--- a/src/entry/common/policies/createPolicy.ts
+++ b/src/entry/common/policies/createPolicy.ts
@@ -2,6 +2,7 @@
 
 import { match } from 'ts-pattern';
 import type { policyNames } from '../entrySettings.js';
+import { BatchSamplingPolicy } from './batchSamplingPolicy.js';
 import { HomePolicy } from './homePolicy.js';
 import type { PlacementPolicy } from './placementPolicy.js';
 import { RandomPolicy } from './randomPolicy.js';
@@ -20,6 +21,7 @@
 	return match(name)
 		.with('home', () => new HomePolicy())
 		.with('random', () => new RandomPolicy())
-		.with('twoChoices', 'batchSampling', () => new TwoChoicesPolicy())
+		.with('twoChoices', () => new TwoChoicesPolicy())
+		.with('batchSampling', () => new BatchSamplingPolicy())
 		.exhaustive();
 }
--- a/src/entry/common/systems/relaySystem.ts
+++ b/src/entry/common/systems/relaySystem.ts
@@ -47,7 +47,6 @@
 				cancelByJobId(context.tables, jobId, false);
 			}
 		})
-		.with({ kind: 'quotaDemands' }, { kind: 'quotaGrants' }, () => undefined)
 		.with({ kind: 'handOver' }, (handOver) => {
 			takeHandOver(context.tables, peer.processId, handOver);
 		})
--- a/src/entry/node/peerHub.ts
+++ b/src/entry/node/peerHub.ts
@@ -17,8 +17,6 @@
 	'relayAnswers',
 	'relayCancel',
 	'cancelJobs',
-	'quotaDemands',
-	'quotaGrants',
 	'handOver',
 	'handOverTaken',
 ]);
--- /dev/null
+++ b/src/entry/test/decisions.test.ts
@@ -0,0 +1,166 @@
+import test from 'ava';
+import type { Tables } from '../../declarations/common/tables.js';
+import type { TaskEnd } from '../../protocol/common/agentMessages.js';
+import { noNeeds, type JobSubmission } from '../../protocol/common/jobs.js';
+import { EntryCore } from '../common/entryCore.js';
+import { HomePolicy } from '../common/policies/homePolicy.js';
+import type { EntryInput, EntryOutputs } from '../common/tickTypes.js';
+import { testTables } from './fakeControlPlane.js';
+import { submissionOf } from './simulatedSystem.js';
+
+/** One home and some workers, driven by hand. */
+class Bench {
+	nowMs = 10_000;
+	readonly started: { worker: number; submissionId: string; taskIndex: number; team: string }[] = [];
+	readonly answers: EntryOutputs['answers'] = [];
+	private readonly _core = new EntryCore(
+		{
+			processId: 'entry-1',
+			incarnation: 'run-1',
+			dataCentre: 'dc-1',
+			freshnessLimitMs: 3000,
+			maxOpenJobs: 1000,
+			keyRetentionMs: 600_000,
+		},
+		new HomePolicy(),
+		1,
+	);
+
+	constructor(workers: number, slots: number, tables: Tables = testTables) {
+		const member = {
+			processId: 'entry-1',
+			incarnation: 'run-1',
+			peerAddress: '',
+			dataCentre: 'dc-1',
+			isDraining: false,
+		};
+		this.tick([{ kind: 'controlState', state: { tables, directory: { epoch: 1, entries: [member] } } }]);
+		for (let worker = 0; worker < workers; worker += 1) {
+			this.tick([
+				{
+					kind: 'peerOpened',
+					sessionId: worker,
+					peer: { role: 'agent', processId: `agent-${worker}`, incarnation: 'a' },
+				},
+				{
+					kind: 'agentMessage',
+					sessionId: worker,
+					message: {
+						kind: 'agentState',
+						revision: 1,
+						dataCentre: 'dc-1',
+						rack: 'rack-1',
+						offer: {
+							pool: 'ledger',
+							slots,
+							connections: 64,
+							cores: 8,
+							memoryBytes: 2 ** 30,
+							accelerators: 0,
+						},
+						isLeaving: false,
+						epoch: 0,
+						knownTasks: [],
+					},
+				},
+			]);
+		}
+	}
+
+	tick(inputs: EntryInput[], tablesAgeMs = 0): EntryOutputs {
+		const outputs = this._core.tick(inputs, { nowMs: this.nowMs, tablesAgeMs });
+		for (const { sessionId, message } of outputs.frames) {
+			if (message.kind !== 'startTasks') {
+				continue;
+			}
+			for (const { submissionId, team, tasks } of message.batches) {
+				for (const { taskIndex } of tasks) {
+					this.started.push({ worker: sessionId, submissionId, taskIndex, team });
+				}
+			}
+		}
+		this.answers.push(...outputs.answers);
+		return outputs;
+	}
+
+	submit(submission: JobSubmission, tablesAgeMs = 0): void {
+		this.tick(
+			[{ kind: 'submit', readerId: 1, jobId: `job-${submission.submissionId}`, submission }],
+			tablesAgeMs,
+		);
+	}
+
+	/** Ends every task that was started, in order. */
+	endAll(endOf: (worker: number) => TaskEnd): void {
+		for (const { worker, submissionId, taskIndex } of this.started.splice(0)) {
+			const outcomes = [{ submissionId, taskIndex, end: endOf(worker) }];
+			this.tick([
+				{ kind: 'agentMessage', sessionId: worker, message: { kind: 'taskOutcomes', revision: 1, outcomes } },
+			]);
+		}
+	}
+}
+
+const done: TaskEnd = { state: 'done', resultJson: '1', runMs: 500 };
+const failed: TaskEnd = { state: 'failed', message: 'It failed.', runMs: 1 };
+
+test('a worker that fails everything is ejected, and probed back with a single task', (t) => {
+	const bench = new Bench(3, 1);
+	const endOf = (worker: number): TaskEnd => (worker === 0 ? failed : done);
+	for (let job = 0; job < 40; job += 1) {
+		bench.submit(submissionOf(`s${job}`, 1));
+		bench.submit(submissionOf(`t${job}`, 1));
+		bench.submit(submissionOf(`u${job}`, 1));
+		bench.endAll(endOf);
+	}
+	bench.submit(submissionOf('after', 3));
+	t.false(bench.started.some(({ worker }) => worker === 0));
+	bench.endAll(() => done);
+	bench.endAll(() => done);
+	bench.nowMs += 1500;
+	bench.submit(submissionOf('probe', 5));
+	t.is(bench.started.filter(({ worker }) => worker === 0).length, 1);
+});
+
+test('jobs that fail on every worker eject none', (t) => {
+	const bench = new Bench(3, 1);
+	for (let job = 0; job < 60; job += 1) {
+		bench.submit(submissionOf(`s${job}`, 3));
+		bench.endAll(() => failed);
+	}
+	bench.submit(submissionOf('after', 3));
+	t.deepEqual(bench.started.map(({ worker }) => worker).sort(), [0, 1, 2]);
+});
+
+test('a flood of one team does not starve another', (t) => {
+	const bench = new Bench(1, 2);
+	bench.submit(submissionOf('flood', 120));
+	bench.submit(submissionOf('small', 4, { team: 'estates' }));
+	for (let round = 0; round < 5; round += 1) {
+		bench.endAll(() => done);
+	}
+	const [answer] = bench.answers;
+	t.like(answer, { answer: { status: 'complete' } });
+});
+
+test('a quota bounds the tasks of a team at the workers', (t) => {
+	const teams = [{ name: 'galleries', maxRunningTasks: 3, weight: 1 }];
+	const bench = new Bench(2, 8, { ...testTables, teams });
+	bench.submit(submissionOf('s', 10));
+	t.is(bench.started.length, 3);
+});
+
+test('stale tables, a hopeless need and a wait beyond the deadline are refused, and nothing starts', (t) => {
+	const bench = new Bench(1, 1);
+	bench.submit(submissionOf('stale', 1), 3001);
+	bench.submit(submissionOf('large', 1, { needs: { ...noNeeds, cores: 9 } }));
+	bench.nowMs += 3500;
+	bench.tick([]);
+	t.is(bench.started.length, 0);
+	bench.submit(submissionOf('first', 1));
+	bench.endAll(() => done);
+	bench.submit(submissionOf('long', 20));
+	bench.submit(submissionOf('late', 1, { remainingMs: 1000 }));
+	const reasons = bench.answers.flatMap(({ answer }) => (answer.status === 'notRun' ? [answer.reason] : []));
+	t.deepEqual(reasons, ['staleTables', 'neverFits', 'deadlineTooShort']);
+});
--- a/src/protocol/common/entryMessages.ts
+++ b/src/protocol/common/entryMessages.ts
@@ -38,39 +38,6 @@
 	readonly jobIds: readonly string[];
 }
 
-/** One team's use of its quota, as one home tells the entry that shares the quota out. */
-export interface QuotaDemand {
-	readonly team: string;
-	/** Tasks that run now or wait. */
-	readonly wantedTasks: number;
-	/** Share that the home takes as granted now. */
-	readonly heldTasks: number;
-}
-
-/** Asks for shares of team quotas. */
-export interface QuotaDemandsMessage {
-	readonly kind: 'quotaDemands';
-	readonly revision: number;
-	readonly epoch: number;
-	readonly demands: readonly QuotaDemand[];
-}
-
-/** A share of one team's quota. */
-export interface QuotaGrant {
-	readonly team: string;
-	readonly maxRunningTasks: number;
-}
-
-/** Leases shares of team quotas. */
-export interface QuotaGrantsMessage {
-	readonly kind: 'quotaGrants';
-	readonly revision: number;
-	readonly epoch: number;
-	readonly grants: readonly QuotaGrant[];
-	/** Time from receipt after which the shares fall back to nothing. */
-	readonly validMs: number;
-}
-
 /** Tells the new home of a pool which shared submissions the sender goes on with. */
 export interface HandOverMessage {
 	readonly kind: 'handOver';
@@ -103,7 +70,5 @@
 	| RelayAnswersMessage
 	| RelayCancelMessage
 	| CancelJobsMessage
-	| QuotaDemandsMessage
-	| QuotaGrantsMessage
 	| HandOverMessage
 	| HandOverTakenMessage;
