Expect a usual run time of tasks before any was measured

A test of a first job of 120 tasks beside a small one was red: without a measured run time the large job asked for nothing, and so did not count as a flood.

--- a/src/entry/common/poolState.ts
+++ b/src/entry/common/poolState.ts
@@ -32,6 +32,9 @@
 /** Retries that may be saved up. */
 const maxRetryTokens = 100;
 
+/** Most tasks take 50 ms to a second. */
+const usualRunMs = 500;
+
 /** State of one pool. */
 export class PoolState {
 	row: PoolRow;
@@ -67,6 +70,11 @@
 		this.row = emptyRow(name);
 	}
 
+	/** Run time to expect of a task; before any was measured, that of a usual task. */
+	get expectedRunMs(): number {
+		return this.runSamples === 0 ? usualRunMs : this.meanRunMs;
+	}
+
 	/** Puts a job's queued tasks in line. */
 	enqueue(job: JobRow, weight: number, nowMs: number): void {
 		const { team } = job.submission;
@@ -76,7 +84,7 @@
 			this.teams.set(team, queue);
 		}
 		queue.weight = weight;
-		queue.demand.add(job.queuedCount * this.meanRunMs, this.slots, nowMs);
+		queue.demand.add(job.queuedCount * this.expectedRunMs, this.slots, nowMs);
 		queue.push(job);
 		this.queuedTasks += job.queuedCount;
 	}
--- a/src/entry/common/teamOrder.ts
+++ b/src/entry/common/teamOrder.ts
@@ -81,7 +81,7 @@
 	/** Lets the orderly teams first have as many tasks as the team asked for beyond its share before it was caught. */
 	private _defer(queue: TeamQueue, excess: number): void {
 		const pool = this._pool;
-		const excessTasks = (excess * demandAveragingMs * pool.slots) / pool.meanRunMs;
+		const excessTasks = (excess * demandAveragingMs * pool.slots) / pool.expectedRunMs;
 		queue.virtualTime =
 			Math.max(queue.virtualTime, pool.virtualTime) + excessTasks / Math.max(1, this._orderlyWeight);
 	}
