--- a/src/replication/node/replicatedLog.ts
+++ b/src/replication/node/replicatedLog.ts
@@ -1,6 +1,5 @@
 /** A keeper's replicated log: the core with its disk, its connections and its clock. */
 
-import { randomUUID } from 'node:crypto';
 import { Ok, type Result } from 'ts-results-es';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { describeError } from '../../base/common/errors.js';
@@ -11,14 +10,10 @@
 import type { LogEntry, Snapshot } from '../common/logEntry.js';
 import { step } from '../common/replicaCore.js';
 import type { ReplicaMessage } from '../common/replicaMessages.js';
-import {
-	createReplicaState,
-	type ReplicaInput,
-	type ReplicaOutput,
-	type ReplicaState,
-} from '../common/replicaState.js';
+import type { ReplicaInput, ReplicaOutput, ReplicaState } from '../common/replicaState.js';
 import { describeNoLeader, statusOf } from '../common/replicaStatus.js';
 import type { IReplicatedLog, MemberChange, ProposeError, ReplicaStatus } from '../common/replicatedLog.js';
+import { createStateFromDisk } from './createStateFromDisk.js';
 import { DiskWriter } from './diskWriter.js';
 import { noFaults, type FaultPointHandler } from './faultPoints.js';
 import { PeerLinks } from './peerLinks.js';
@@ -27,15 +22,6 @@
 import { defaultSnapshotAfterBytes, SnapshotTaker } from './snapshotTaker.js';
 import { WorkRouter } from './workRouter.js';
 
-/** Bytes of entries in one message. */
-const maxAppendBytes = 512 * 1024;
-
-/** Bytes of a snapshot in one message. */
-const snapshotChunkBytes = 512 * 1024;
-
-/** Entries kept behind a snapshot, so that a keeper that restarts is served with entries. */
-const trailingEntries = 10_000;
-
 /** Longest time between ticks. */
 const maxTickMs = 25;
 
@@ -66,7 +52,7 @@
 		super();
 		const { processId, connection, clock, stateMachine } = _options;
 		this._faultPoints = _options.faultPoints ?? noFaults;
-		this._state = createState(_options, _storage);
+		this._state = createStateFromDisk(_options, _storage.stored);
 		this._writer = this._register(new DiskWriter(_storage, this._faultPoints));
 		const snapshotAfterBytes = _options.snapshotAfterBytes ?? defaultSnapshotAfterBytes;
 		this._snapshots = this._register(new SnapshotTaker(_storage, stateMachine, snapshotAfterBytes));
@@ -160,7 +146,9 @@
 	}
 
 	override dispose(): void {
-		void this.close();
+		this.close().catch((error: unknown) => {
+			this._options.log.warn('replica.closeFailed', { reason: describeError(error) });
+		});
 	}
 
 	private async _close(): Promise<void> {
@@ -354,25 +342,3 @@
 		this._onDidChangeStatus.fire(this._status);
 	}
 }
-
-function createState(options: ReplicatedLogOptions, storage: ReplicaStorage): ReplicaState {
-	const { hardState, snapshot, entries } = storage.stored;
-	return createReplicaState({
-		config: {
-			processId: options.processId,
-			address: options.address,
-			initialMembers: options.initialMembers,
-			electionTimeoutMs: options.electionTimeoutMs,
-			heartbeatIntervalMs: options.heartbeatIntervalMs,
-			maxAppendBytes,
-			chunkBytes: snapshotChunkBytes,
-			trailingEntries,
-			random: options.random,
-			createGroupId: randomUUID,
-		},
-		hard: hardState,
-		snapshot,
-		entries,
-		nowMs: options.clock.nowMs(),
-	});
-}
