--- a/src/agent/common/agentInputs.ts
+++ b/src/agent/common/agentInputs.ts
@@ -5,7 +5,7 @@
 import type { TaskIdentity, TaskNeeds } from '../../protocol/common/jobs.js';
 import type { LogFields } from '../../platform/log/common/log.js';
 import type { Announcement } from './announcement.js';
-import type { TaskUsage } from './taskTable.js';
+import type { TaskUsage } from './taskRecord.js';
 
 /** How a run ended, as the platform saw it. */
 export type RunEnd =
--- a/src/agent/common/agentTables.ts
+++ b/src/agent/common/agentTables.ts
@@ -5,7 +5,8 @@
 import type { LogFields } from '../../platform/log/common/log.js';
 import type { AgentOutput } from './agentInputs.js';
 import { RouteUsageTable } from './routeUsageTable.js';
-import { TaskTable, type Recipient, type TaskRecord } from './taskTable.js';
+import { type Recipient, type TaskRecord } from './taskRecord.js';
+import { TaskTable } from './taskTable.js';
 
 /** Settings that the core needs. */
 export interface AgentCoreOptions {
--- a/src/agent/common/routeUsageTable.ts
+++ b/src/agent/common/routeUsageTable.ts
@@ -1,7 +1,7 @@
 /** What tasks of each route were measured to use; declared sizes are far off. */
 
 import type { TaskNeeds } from '../../protocol/common/jobs.js';
-import type { TaskUsage } from './taskTable.js';
+import type { TaskUsage } from './taskRecord.js';
 
 /** Ended tasks of a route that were measured, before measurements replace what is declared. */
 const samplesToTrust = 3;
--- a/src/agent/common/systems/admissionSystem.ts
+++ b/src/agent/common/systems/admissionSystem.ts
@@ -2,7 +2,7 @@
 
 import type { TaskNeeds } from '../../../protocol/common/jobs.js';
 import type { AgentTables, AgentTick, UpstreamRow } from '../agentTables.js';
-import type { LiveTask, TaskRecord } from '../taskTable.js';
+import type { LiveTask, TaskRecord } from '../taskRecord.js';
 import { endQueued } from './taskEnds.js';
 import { isAccepting } from './membershipSystem.js';
 
--- a/src/agent/common/systems/entryMessageSystem.ts
+++ b/src/agent/common/systems/entryMessageSystem.ts
@@ -13,9 +13,8 @@
 import type { TaskIdentity } from '../../../protocol/common/jobs.js';
 import type { AgentInput } from '../agentInputs.js';
 import type { AgentTick, EntryRow } from '../agentTables.js';
-import type { TaskRecord } from '../taskTable.js';
-import { canEverFit } from './admissionSystem.js';
-import { isAccepting } from './membershipSystem.js';
+import type { TaskRecord } from '../taskRecord.js';
+import { batchRefusal, messageRefusal, taskRefusal } from './startRules.js';
 import { endTask, everyAttempt, fenceTask, identityOf, notStartedEnd, stopRunning } from './taskEnds.js';
 
 type EntryMessageInput = Extract<AgentInput, { kind: 'entryMessage' }>;
@@ -105,60 +104,6 @@
 	tasks.enqueue(identity, attempt, live, entry);
 }
 
-/** Why no task of a message may be started. */
-function messageRefusal(
-	tick: AgentTick,
-	message: StartTasksMessage,
-	tablesAgeMs: number,
-): NotStartedReason | undefined {
-	const { tables } = tick;
-	if (tables.upstream === undefined) {
-		return 'noUpstream';
-	}
-	if (!isAccepting(tick)) {
-		return 'leaving';
-	}
-	if (message.epoch < (tables.epochs.get(tables.upstream.offer.pool) ?? 0)) {
-		return 'olderEpoch';
-	}
-	const limitMs = tables.options.freshnessLimitMs;
-	if (tablesAgeMs > limitMs && message.ageMs !== undefined && message.ageMs > limitMs) {
-		return 'staleTables';
-	}
-	return undefined;
-}
-
-/** Why no task of a batch may be started. */
-function batchRefusal(
-	tick: AgentTick,
-	message: StartTasksMessage,
-	batch: StartBatch,
-): NotStartedReason | undefined {
-	const { tables } = tick;
-	const pool = tables.upstream?.offer.pool;
-	// A sender whose tables are newer knows of routes that this agent has yet to hear of.
-	if (message.revision <= tables.declarations.revision && tables.poolOfRoute.get(batch.route) !== pool) {
-		return 'otherPool';
-	}
-	if (!canEverFit(tables, batch.route, batch.needs)) {
-		return 'doesNotFit';
-	}
-	return undefined;
-}
-
-/** Why one task may not be started. */
-function taskRefusal(tick: AgentTick, known: TaskRecord | undefined): NotStartedReason | undefined {
-	const { tasks, options, upstream } = tick.tables;
-	if (known === undefined && tasks.size >= options.maxRememberedTasks) {
-		return 'identitiesFull';
-	}
-	const freeSlots = Math.max(0, (upstream?.offer.slots ?? 0) - tasks.runningCount);
-	if (tasks.queue.length >= freeSlots + options.maxQueuedTasks) {
-		return 'queueFull';
-	}
-	return undefined;
-}
-
 /** Tells an entry about a task that is known already; it is never started a second time. */
 function answerKnown(tick: AgentTick, entry: EntryRow, record: TaskRecord): void {
 	const { tasks } = tick.tables;
--- a/src/agent/common/systems/guardSystem.ts
+++ b/src/agent/common/systems/guardSystem.ts
@@ -6,7 +6,7 @@
 
 import type { AgentInput } from '../agentInputs.js';
 import type { AgentTables, AgentTick, UpstreamRow } from '../agentTables.js';
-import type { LiveTask, TaskRecord, TaskUsage } from '../taskTable.js';
+import type { LiveTask, TaskRecord, TaskUsage } from '../taskRecord.js';
 import { stopRunning } from './taskEnds.js';
 
 /** Time between samples while tasks run. */
--- a/src/agent/common/systems/outcomeSystem.ts
+++ b/src/agent/common/systems/outcomeSystem.ts
@@ -7,7 +7,7 @@
 
 import type { TaskOutcome } from '../../../protocol/common/agentMessages.js';
 import type { AgentTick, EntryRow } from '../agentTables.js';
-import { recipientKey, type TaskRecord } from '../taskTable.js';
+import { recipientKey, type TaskRecord } from '../taskRecord.js';
 import { identityOf } from './taskEnds.js';
 
 /** Characters of results in one frame; far below the limit of a connection's frames. */
--- a/src/agent/common/systems/runSystem.ts
+++ b/src/agent/common/systems/runSystem.ts
@@ -4,7 +4,7 @@
 import type { TaskEnd } from '../../../protocol/common/agentMessages.js';
 import type { AgentInput, RunEnd } from '../agentInputs.js';
 import type { AgentTick } from '../agentTables.js';
-import type { LiveTask, TaskRecord } from '../taskTable.js';
+import type { LiveTask, TaskRecord } from '../taskRecord.js';
 import { learnUsage, noteUsage } from './guardSystem.js';
 import { dropUpstream, suspectUpstream } from './membershipSystem.js';
 import { endTask, notStartedEnd, runMsOf } from './taskEnds.js';
--- a/src/agent/common/systems/taskEnds.ts
+++ b/src/agent/common/systems/taskEnds.ts
@@ -3,7 +3,7 @@
 import type { NotStartedReason, TaskEnd } from '../../../protocol/common/agentMessages.js';
 import type { TaskIdentity } from '../../../protocol/common/jobs.js';
 import type { AgentTick, EntryRow } from '../agentTables.js';
-import type { TaskRecord } from '../taskTable.js';
+import type { TaskRecord } from '../taskRecord.js';
 
 /** Every attempt of a task. */
 export const everyAttempt = Number.MAX_SAFE_INTEGER;
--- a/src/agent/node/runRequest.ts
+++ b/src/agent/node/runRequest.ts
@@ -4,7 +4,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { describeError } from '../../base/common/errors.js';
 import type { RunEnd } from '../common/agentInputs.js';
-import type { TaskUsage } from '../common/taskTable.js';
+import type { TaskUsage } from '../common/taskRecord.js';
 import { refusalStatus, upstreamHeaders } from '../common/upstreamProtocol.js';
 
 /** Characters of a failed task's body that are passed on. */
--- a/src/code/node/commands/agentCommand.ts
+++ b/src/code/node/commands/agentCommand.ts
@@ -7,7 +7,7 @@
 import { HttpWorkerPlatform } from '../../../agent/node/httpWorkerPlatform.js';
 import { monotonicClock } from '../../../base/common/clock.js';
 import { ControlPlaneClient } from '../../../control/node/controlPlaneClient.js';
-import { reportSettingsError, runDaemon } from '../../../platform/daemon/node/daemon.js';
+import { reportSettingsError, runDaemon, type IDaemon } from '../../../platform/daemon/node/daemon.js';
 import { ConsolaLogService } from '../../../platform/log/node/consolaLogService.js';
 import { createMetricsService } from '../../../platform/metrics/node/statsdMetricsService.js';
 import type { ILogService } from '../../../platform/log/common/log.js';
@@ -37,19 +37,29 @@
 	},
 });
 
-function startAgent(settings: AgentSettings, log: ILogService): Promise<AgentDaemon> {
+async function startAgent(settings: AgentSettings, log: ILogService): Promise<IDaemon> {
 	const identity: PeerIdentity = {
 		role: 'agent',
 		processId: settings.processId,
 		incarnation: randomUUID(),
 	};
 	const { keepers, sharedSecret: secret, maxResultBytes } = settings;
-	return AgentDaemon.start(settings, {
+	const controlPlane = new ControlPlaneClient({ keepers, identity, secret, log });
+	const daemon = await AgentDaemon.start(settings, {
 		identity,
-		controlPlane: new ControlPlaneClient({ keepers, identity, secret, log }),
+		controlPlane,
 		platform: new HttpWorkerPlatform({ maxResultBytes }, log),
 		clock: monotonicClock,
 		log,
 		metrics: createMetricsService(settings.metrics, { role: 'agent', instance: settings.processId }),
 	});
+	return {
+		drain: async () => {
+			await daemon.drain();
+			await controlPlane.leave();
+		},
+		dispose: () => {
+			daemon.dispose();
+		},
+	};
 }
