Entry leaves the directory when it has drained, and sends metrics

Cause: only agents told the keepers that they left; an entry's place in the directory ended with its lease, up to 1.5 s after the process, during which readers' jobs are relayed to nobody. Metrics of jobs were not sent at all.

Change: the entry's command calls leave after the drain.

--- a/src/code/node/commands/entryCommand.ts
+++ b/src/code/node/commands/entryCommand.ts
@@ -4,8 +4,10 @@
 import { ControlPlaneClient } from '../../../control/node/controlPlaneClient.js';
 import { entrySettingsSchema, type EntrySettings } from '../../../entry/common/entrySettings.js';
 import { EntryDaemon } from '../../../entry/node/entryDaemon.js';
-import { reportSettingsError, runDaemon } from '../../../platform/daemon/node/daemon.js';
+import { reportSettingsError, runDaemon, type IDaemon } from '../../../platform/daemon/node/daemon.js';
+import type { ILogService } from '../../../platform/log/common/log.js';
 import { ConsolaLogService } from '../../../platform/log/node/consolaLogService.js';
+import { createMetricsService } from '../../../platform/metrics/node/statsdMetricsService.js';
 import { loadSettings } from '../../../platform/settings/node/loadSettings.js';
 
 /** The command's definition. */
@@ -29,12 +31,36 @@
 	await runDaemon({
 		log,
 		drainTimeoutMs: settings.drainTimeoutMs,
-		start: () =>
-			EntryDaemon.start({
-				settings,
+		start: () => startEntry(settings, log),
+	});
+}
+
+async function startEntry(settings: EntrySettings, log: ILogService): Promise<IDaemon> {
+	const controlPlanes: ControlPlaneClient[] = [];
+	const daemon = await EntryDaemon.start({
+		settings,
+		log,
+		metrics: createMetricsService(settings.metrics, { role: 'entry', instance: settings.processId }),
+		connectControl: ({ identity, secret, limits }) => {
+			const controlPlane = new ControlPlaneClient({
+				keepers: settings.keepers,
+				identity,
+				secret,
+				limits,
 				log,
-				connectControl: ({ identity, secret, limits }) =>
-					new ControlPlaneClient({ keepers: settings.keepers, identity, secret, limits, log }),
-			}),
+			});
+			controlPlanes.push(controlPlane);
+			return controlPlane;
+		},
 	});
+	return {
+		drain: async () => {
+			await daemon.drain();
+			// The entry's place in the directory ends now, and not with its lease.
+			await Promise.all(controlPlanes.map((controlPlane) => controlPlane.leave()));
+		},
+		dispose: () => {
+			daemon.dispose();
+		},
+	};
 }
--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -8,12 +8,10 @@
 import { monotonicClock } from '../../base/common/clock.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { describeError } from '../../base/common/errors.js';
-import type { OutcomeLedger } from '../../burn/common/outcomeCounts.js';
-import { classifyOutcome, OutcomeRecorder } from '../../burn/common/outcomeRecorder.js';
 import type { ControlState, IControlPlane } from '../../control/common/controlPlane.js';
-import type { RouteObjectives } from '../../declarations/common/tables.js';
 import type { IDaemon } from '../../platform/daemon/node/daemon.js';
 import type { ILogService } from '../../platform/log/common/log.js';
+import { nullMetricsService, type IMetricsService } from '../../platform/metrics/common/metrics.js';
 import { SettingsError } from '../../platform/settings/common/settingsError.js';
 import {
 	defaultConnectionLimits,
@@ -22,7 +20,6 @@
 } from '../../platform/transport/common/transport.js';
 import { formatAddress, parseAddress } from '../../platform/transport/node/address.js';
 import type { ConnectionOptions } from '../../platform/transport/node/frameConnection.js';
-import type { JobAnswer } from '../../protocol/common/jobs.js';
 import type { ClaimRequest, MemberStatus } from '../../protocol/common/keeperMessages.js';
 import { EntryCore } from '../common/entryCore.js';
 import type { EntryStats } from '../common/entryStats.js';
@@ -30,6 +27,7 @@
 import { createPolicy } from '../common/policies/createPolicy.js';
 import type { EntryInput, EntryOutputs } from '../common/tickTypes.js';
 import { createEntryOperatorApi } from './entryOperatorApi.js';
+import { OutcomeBook } from './outcomeBook.js';
 import { PeerHub } from './peerHub.js';
 import { ReaderApi } from './readerApi.js';
 import { TickLoop } from './tickLoop.js';
@@ -42,9 +40,6 @@
 /** Time that the other entries get to learn that this one is no longer a home. */
 const handOverTimeoutMs = 2000;
 
-/** Time between two beats of the outcome recorder. */
-const outcomeBeatMs = 1000;
-
 /** What an entry is started with. */
 export interface EntryDaemonOptions {
 	readonly settings: EntrySettings;
@@ -52,6 +47,7 @@
 	/** Connects to the keepers as this process. */
 	readonly connectControl: (options: ConnectionOptions) => IControlPlane;
 	readonly limits?: ConnectionLimits;
+	readonly metrics?: IMetricsService;
 }
 
 /** A running entry. */
@@ -59,7 +55,7 @@
 	private readonly _core: EntryCore;
 	private readonly _api: ReaderApi;
 	private readonly _loop: TickLoop;
-	private readonly _outcomes: OutcomeRecorder;
+	private readonly _outcomes: OutcomeBook;
 	private _isDraining = false;
 	/** Kept, because a server that is closing has no address any more. */
 	private readonly _httpAddress: string;
@@ -102,7 +98,7 @@
 				notReadyReason: () => this._notReadyReason(),
 				hasFreshTables: () => !this._core.tables.isStale,
 				recordOutcome: (route, answer, responseMs) => {
-					this._recordOutcome(route, answer, responseMs);
+					this._outcomes.record(route, answer, responseMs);
 				},
 				push: (input) => {
 					this._loop.push(input);
@@ -110,10 +106,11 @@
 			},
 			settings.maxBodyBytes,
 		);
-		this._outcomes = new OutcomeRecorder(_identity, Date.now);
+		this._outcomes = this._register(
+			new OutcomeBook(_identity, () => _control.state.tables, _options.metrics ?? nullMetricsService),
+		);
 		this._serve();
 		this._followControl();
-		this._keepCounting();
 	}
 
 	/**
@@ -196,7 +193,7 @@
 
 	private _serve(): void {
 		const app = this._api.createApp();
-		const host = { stats: () => this._stats(), ledger: () => this._readLedger() };
+		const host = { stats: () => this._stats(), ledger: () => this._outcomes.read() };
 		app.route('/', createEntryOperatorApi(host, this._options.settings.operatorToken));
 		const listener = getRequestListener(app.fetch, {});
 		this._server.on('request', (request, response) => {
@@ -270,33 +267,6 @@
 		return undefined;
 	}
 
-	/** Beats while the process is alive, so that the burn report knows which time it has not seen. */
-	private _keepCounting(): void {
-		const timer = setInterval(() => {
-			this._outcomes.beat();
-		}, outcomeBeatMs);
-		this._register(
-			toDisposable(() => {
-				clearInterval(timer);
-			}),
-		);
-	}
-
-	private _recordOutcome(route: string, answer: JobAnswer, responseMs: number): void {
-		const objectives = this._objectivesOf(route);
-		if (objectives !== undefined) {
-			this._outcomes.record(route, classifyOutcome({ ...answer, responseMs }, objectives));
-		}
-	}
-
-	private _readLedger(): OutcomeLedger {
-		return this._outcomes.read((route) => this._objectivesOf(route));
-	}
-
-	private _objectivesOf(route: string): RouteObjectives | undefined {
-		return this._control.state.tables.routes.find((row) => row.name === route)?.objectives;
-	}
-
 	private _stats(): object {
 		const { stats, jobs, epoch, revision, workers, pools } = this._core.tables;
 		const { user, system } = process.cpuUsage();
