--- a/src/agent/common/entryMessageCheck.ts
+++ b/src/agent/common/entryMessageCheck.ts
@@ -12,6 +12,8 @@
 	switch (message.kind) {
 		case 'startTasks':
 			return isNumber(fields.epoch) && Array.isArray(fields.batches) && fields.batches.every(isBatch);
+		case 'assumeHome':
+			return isNumber(fields.epoch) && typeof fields.pool === 'string';
 		case 'fenceTasks':
 			return isNumber(fields.epoch) && isIdentityList(fields.tasks);
 		case 'cancelTasks':
--- a/src/agent/common/systems/entryMessageSystem.ts
+++ b/src/agent/common/systems/entryMessageSystem.ts
@@ -3,8 +3,10 @@
 import { match } from 'ts-pattern';
 import type {
 	AcknowledgeOutcomesMessage,
+	AssumeHomeMessage,
 	CancelTasksMessage,
 	FenceTasksMessage,
+	KnownSubmissionsMessage,
 	NotStartedReason,
 	StartBatch,
 	StartTasksMessage,
@@ -34,6 +36,9 @@
 		.with({ kind: 'startTasks' }, (message) => {
 			takeStarts(tick, entry, message, input.tablesAgeMs);
 		})
+		.with({ kind: 'assumeHome' }, (message) => {
+			answerHome(tick, entry, message);
+		})
 		.with({ kind: 'cancelTasks' }, (message) => {
 			takeCancellations(tick, entry, message);
 		})
@@ -46,6 +51,19 @@
 		.exhaustive();
 }
 
+/** From here on an earlier home starts nothing more at this agent, so what is known now is all that it started. */
+function answerHome(tick: AgentTick, entry: EntryRow, { epoch, pool }: AssumeHomeMessage): void {
+	const { tables } = tick;
+	if (tables.upstream?.offer.pool !== pool) {
+		return;
+	}
+	raiseEpoch(tick, epoch);
+	const submissionIds = tables.tasks.submissionIds();
+	const { revision } = tables.declarations;
+	const message: KnownSubmissionsMessage = { kind: 'knownSubmissions', revision, epoch, pool, submissionIds };
+	tick.outputs.push({ kind: 'send', connectionId: entry.connectionId, message });
+}
+
 function takeStarts(tick: AgentTick, entry: EntryRow, message: StartTasksMessage, tablesAgeMs: number): void {
 	const commonReason = messageRefusal(tick, message, tablesAgeMs);
 	if (commonReason === undefined) {
--- a/src/agent/common/taskTable.ts
+++ b/src/agent/common/taskTable.ts
@@ -56,6 +56,11 @@
 		return this._running.size;
 	}
 
+	/** Submissions of which any task is remembered. */
+	submissionIds(): string[] {
+		return [...new Set([...this._records.values()].map((record) => record.submissionId))];
+	}
+
 	get(identity: TaskIdentity): TaskRecord | undefined {
 		return this._records.get(taskKey(identity));
 	}
--- a/src/agent/test/coreModel.ts
+++ b/src/agent/test/coreModel.ts
@@ -216,6 +216,9 @@
 	}
 
 	private _noteAsked(channel: Channel, message: EntryToAgentMessage): void {
+		if (message.kind === 'assumeHome') {
+			return;
+		}
 		const identities =
 			message.kind === 'startTasks'
 				? message.batches.flatMap(({ submissionId, tasks }) =>
@@ -289,6 +292,9 @@
 		if (!channel.hasState) {
 			this.faults.push('An outcome was sent before the first state.');
 		}
+		if (message.kind === 'knownSubmissions') {
+			return;
+		}
 		for (const { submissionId, taskIndex, end } of message.outcomes) {
 			const key = taskKey({ submissionId, taskIndex });
 			const view = this.view(key);
--- a/src/entry/common/entryCore.ts
+++ b/src/entry/common/entryCore.ts
@@ -27,7 +27,7 @@
 	type RoutingContext,
 } from './systems/routingSystem.js';
 import { applyAgentState, closeSession, forgetLostWorkers } from './systems/sessionSystem.js';
-import { searchWaitingJobs } from './systems/searchSystem.js';
+import { applyKnownSubmissions, assumeHome, searchWaitingJobs } from './systems/searchSystem.js';
 import { settleHomes, updateHomes } from './systems/tenureSystem.js';
 import { emptyOutputs, type EntryInput, type EntryOutputs, type TickClock } from './tickTypes.js';
 import { verdictOf } from './verdict.js';
@@ -94,11 +94,17 @@
 				this._submit(context, submit);
 			})
 			.with({ kind: 'agentMessage' }, ({ sessionId, message }) => {
-				if (message.kind === 'agentState') {
-					applyAgentState(tables, sessionId, message, outputs);
-				} else {
-					applyOutcomes(tables, sessionId, message, outputs);
-				}
+				match(message)
+					.with({ kind: 'agentState' }, (state) => {
+						applyAgentState(tables, sessionId, state, outputs);
+					})
+					.with({ kind: 'knownSubmissions' }, (known) => {
+						applyKnownSubmissions(tables, sessionId, known);
+					})
+					.with({ kind: 'taskOutcomes' }, (ended) => {
+						applyOutcomes(tables, sessionId, ended, outputs);
+					})
+					.exhaustive();
 			})
 			.with({ kind: 'entryMessage' }, ({ sessionId, message }) => {
 				applyEntryMessage(context, sessionId, message);
@@ -153,6 +159,9 @@
 		const { tables, outputs } = context;
 		for (const { pool, before } of updateHomes(tables, outputs, hasMissedDirectories)) {
 			if (pool.home.kind === 'self') {
+				for (const worker of tables.workersOf(pool.name)) {
+					assumeHome(tables, worker);
+				}
 				searchWaitingJobs(tables, pool.name);
 				takeEarlyHandOver(tables, pool);
 			} else {
--- a/src/entry/common/entryStats.ts
+++ b/src/entry/common/entryStats.ts
@@ -8,7 +8,15 @@
 
 /** Kinds of messages beyond one start and one answer a task. */
 export type WastedMessageKind =
-	'probes' | 'refusals' | 'polls' | 'grants' | 'cancels' | 'fences' | 'acknowledgements' | 'handOvers';
+	| 'probes'
+	| 'refusals'
+	| 'polls'
+	| 'grants'
+	| 'cancels'
+	| 'fences'
+	| 'acknowledgements'
+	| 'handOvers'
+	| 'assumptions';
 
 function noMessages(): WastedMessages {
 	return { frames: 0, items: 0 };
@@ -40,6 +48,7 @@
 		fences: noMessages(),
 		acknowledgements: noMessages(),
 		handOvers: noMessages(),
+		assumptions: noMessages(),
 	};
 
 	/** Counts one frame that names some tasks. */
--- a/src/entry/common/outbox.ts
+++ b/src/entry/common/outbox.ts
@@ -14,6 +14,8 @@
 	/** Questions by the attempt up to which they fence: a fence that holds further would refuse this entry's next start. */
 	readonly fences = new Map<number, TaskIdentity[]>();
 	readonly acknowledgements: TaskIdentity[] = [];
+	/** Pool that this entry is the home of, to be told to the agent. */
+	assumedPool: string | undefined;
 	readonly relayedJobs: JobSubmission[] = [];
 	readonly relayedAnswers: RelayAnswer[] = [];
 	readonly relayedCancels: string[] = [];
@@ -92,6 +94,10 @@
 	private _agentMessagesOf(session: SessionOutbox, revision: number, epoch: number): EntryToAgentMessage[] {
 		const stats = this._stats;
 		const messages: EntryToAgentMessage[] = [];
+		if (session.assumedPool !== undefined) {
+			stats.countWasted('assumptions', 1);
+			messages.push({ kind: 'assumeHome', revision, epoch, pool: session.assumedPool });
+		}
 		for (const [attempt, tasks] of session.fences) {
 			stats.countWasted('fences', tasks.length);
 			messages.push({ kind: 'fenceTasks', revision, epoch, attempt, tasks });
--- a/src/entry/common/systems/searchSystem.ts
+++ b/src/entry/common/systems/searchSystem.ts
@@ -1,15 +1,18 @@
 /**
  * Finds out which tasks of a job an earlier home has started, before this home starts any.
  *
- * Every worker of the pool is asked about every task. One that never heard of a task fences it against the earlier
- * home's starts, which may still be on their way, and says so. A task that all workers have fenced may be placed;
- * one that some worker knows is waited for instead.
+ * A new home tells every worker so once. The worker refuses the starts of earlier homes from then on, and answers
+ * with the submissions that it knows. Until it has answered, and for those that it knows, it is asked about every
+ * task: one that never heard of a task fences it against the earlier home's starts, which may still be on their way,
+ * and says so. A task that all such workers have fenced may be placed; one that some worker knows is waited for.
  */
 
+import type { KnownSubmissionsMessage } from '../../../protocol/common/agentMessages.js';
 import { taskKey } from '../../../protocol/common/jobs.js';
 import type { EntryTables } from '../entryTables.js';
 import { endTask, enqueue, stopJob } from '../jobLife.js';
 import type { JobRow } from '../jobRow.js';
+import type { Tenure } from '../poolState.js';
 import type { WorkerRow } from '../workerRow.js';
 
 /** Placements of one task that an epoch has numbers for. */
@@ -79,9 +82,10 @@
 }
 
 function askWorkers(tables: EntryTables, job: JobRow): void {
-	const workers = tables.workersOf(job.pool);
+	const { tenure } = tables.poolOf(job.pool);
+	const workers = tables.workersOf(job.pool).filter((worker) => mayKnow(worker, job, tenure));
 	job.hasBeenSearched = true;
-	job.searchedUnder = tables.poolOf(job.pool).tenure;
+	job.searchedUnder = tenure;
 	if (workers.length === 0) {
 		return;
 	}
@@ -91,6 +95,47 @@
 	}
 }
 
+/**
+ * Whether an earlier home can have started, or can still start, tasks of a job at a worker. One that has said what it
+ * knows, under the present tenure, need not be asked about anything else, also when it is lost later. That holds only
+ * if the earlier home was gone before the worker was asked.
+ */
+function mayKnow(worker: WorkerRow, job: JobRow, tenure: Tenure | undefined): boolean {
+	const isCleared = tenure !== undefined && worker.clearedUnder === tenure;
+	return !isCleared || worker.knownSubmissions.has(job.submissionId);
+}
+
+/** Tells a worker that this entry is its pool's home, unless it has answered already. */
+export function assumeHome(tables: EntryTables, worker: WorkerRow): void {
+	const { pool, sessionId } = worker;
+	if (pool === undefined || sessionId === undefined) {
+		return;
+	}
+	const { tenure } = tables.poolOf(pool);
+	if (tenure?.isEarlierHomeGone === true && worker.clearedUnder !== tenure) {
+		tables.outbox.to(sessionId).assumedPool = pool;
+		worker.askedUnder = { tenure, epoch: tables.epoch };
+	}
+}
+
+/** Takes the answer of a worker that was told who its home is. */
+export function applyKnownSubmissions(
+	tables: EntryTables,
+	sessionId: number,
+	message: KnownSubmissionsMessage,
+): void {
+	const peer = tables.sessions.get(sessionId);
+	const worker = peer === undefined ? undefined : tables.workers.get(peer.processId);
+	if (worker?.sessionId !== sessionId || worker.askedUnder?.epoch !== message.epoch) {
+		return;
+	}
+	const { tenure } = worker.askedUnder;
+	if (message.pool === worker.pool && tables.poolOf(message.pool).tenure === tenure) {
+		worker.clearedUnder = tenure;
+		worker.knownSubmissions = new Set(message.submissionIds);
+	}
+}
+
 /** Asks a worker that has come back what it was asked before. */
 export function repeatSearches(tables: EntryTables, worker: WorkerRow): void {
 	for (const task of worker.searched.values()) {
--- a/src/entry/common/systems/sessionSystem.ts
+++ b/src/entry/common/systems/sessionSystem.ts
@@ -4,7 +4,7 @@
 import { taskKey } from '../../../protocol/common/jobs.js';
 import type { EntryTables } from '../entryTables.js';
 import { endTask } from '../jobLife.js';
-import { repeatSearches } from './searchSystem.js';
+import { assumeHome, repeatSearches } from './searchSystem.js';
 import type { EntryOutputs } from '../tickTypes.js';
 import { WorkerRow } from '../workerRow.js';
 
@@ -63,6 +63,7 @@
 	if (isFirst) {
 		openWorkerSession(tables, worker, sessionId, outputs);
 	}
+	assumeHome(tables, worker);
 }
 
 /** Forgets workers that were lost long ago and hold nothing. */
--- a/src/entry/common/workerRow.ts
+++ b/src/entry/common/workerRow.ts
@@ -3,6 +3,7 @@
 import type { KnownTask, UpstreamOffer } from '../../protocol/common/agentMessages.js';
 import type { TaskIdentity, TaskNeeds } from '../../protocol/common/jobs.js';
 import type { JobRow } from './jobRow.js';
+import type { Tenure } from './poolState.js';
 import { WorkerHealth } from './workerHealth.js';
 
 /** A task that this entry sent to a worker and whose end it has not heard. */
@@ -42,6 +43,12 @@
 	readonly assigned = new Map<string, AssignedTask>();
 	/** Tasks of earlier homes that the worker was asked about and has not answered. */
 	readonly searched = new Map<string, SearchedTask>();
+	/** Tenure and epoch of the last question of that kind. */
+	askedUnder: { readonly tenure: Tenure; readonly epoch: number } | undefined;
+	/** Tenure under which the agent said what it knows, and refuses the starts of earlier homes. */
+	clearedUnder: Tenure | undefined;
+	/** Submissions that the agent knew of then. */
+	knownSubmissions: ReadonlySet<string> = new Set();
 	/** Outcomes to acknowledge, and when the oldest arrived. */
 	unacknowledged: TaskIdentity[] = [];
 	unacknowledgedSinceMs = 0;
--- a/src/entry/node/peerHub.ts
+++ b/src/entry/node/peerHub.ts
@@ -11,7 +11,11 @@
 import type { EntryMember } from '../../protocol/common/keeperMessages.js';
 import type { EntryInput, OutgoingFrame } from '../common/tickTypes.js';
 
-const agentKinds: ReadonlySet<string> = new Set<AgentToEntryMessage['kind']>(['agentState', 'taskOutcomes']);
+const agentKinds: ReadonlySet<string> = new Set<AgentToEntryMessage['kind']>([
+	'agentState',
+	'taskOutcomes',
+	'knownSubmissions',
+]);
 const entryKinds: ReadonlySet<string> = new Set<EntryToEntryMessage['kind']>([
 	'relayJobs',
 	'relayAnswers',
--- a/src/entry/test/simulatedAgent.ts
+++ b/src/entry/test/simulatedAgent.ts
@@ -2,6 +2,7 @@
 
 import type {
 	EntryToAgentMessage,
+	KnownSubmissionsMessage,
 	NotStartedReason,
 	TaskEnd,
 	TaskOutcome,
@@ -25,6 +26,7 @@
 	started(identity: TaskIdentity): void;
 	/** Lets the end of a task come later. */
 	endLater(finish: () => void): void;
+	tell(session: number, message: KnownSubmissionsMessage): void;
 	reply(session: number, outcomes: readonly TaskOutcome[]): void;
 	endOf(identity: TaskIdentity, payloadJson: string): TaskEnd;
 }
@@ -69,6 +71,11 @@
 				}
 			}
 		}
+		if (message.kind === 'assumeHome') {
+			this.epoch = Math.max(this.epoch, message.epoch);
+			const submissionIds = [...this._records.values()].map(({ identity }) => identity.submissionId);
+			this._host.tell(session, { ...message, kind: 'knownSubmissions', submissionIds });
+		}
 		if (message.kind === 'fenceTasks') {
 			this.epoch = Math.max(this.epoch, message.epoch);
 			for (const identity of message.tasks) {
--- a/src/entry/test/simulatedSystem.ts
+++ b/src/entry/test/simulatedSystem.ts
@@ -237,6 +237,9 @@
 			endLater: (finish) => {
 				this.after(this._options.runMs(this.random), finish);
 			},
+			tell: (session, message) => {
+				this._toEntry(session, message);
+			},
 			reply: (session, outcomes) => {
 				this._toEntry(session, { kind: 'taskOutcomes', revision: 1, outcomes });
 			},
--- a/src/protocol/common/agentMessages.ts
+++ b/src/protocol/common/agentMessages.ts
@@ -108,6 +108,28 @@
 	readonly tasks: readonly TaskIdentity[];
 }
 
+/**
+ * Tells an agent that the sender is the home of its pool under an epoch. The agent refuses starts under an earlier
+ * epoch from then on, and answers with the submissions that it has heard of: those are all that an earlier home can
+ * have started there.
+ */
+export interface AssumeHomeMessage {
+	readonly kind: 'assumeHome';
+	readonly revision: number;
+	readonly epoch: number;
+	readonly pool: string;
+}
+
+/** Answers `assumeHome`; not sent by an agent whose upstream is of another pool. */
+export interface KnownSubmissionsMessage {
+	readonly kind: 'knownSubmissions';
+	readonly revision: number;
+	/** Epoch of the question. */
+	readonly epoch: number;
+	readonly pool: string;
+	readonly submissionIds: readonly string[];
+}
+
 /**
  * Tells an agent which outcomes have arrived, so that it may forget the results (not the identities). To be sent
  * before a greater attempt of the same task.
@@ -178,7 +200,7 @@
 
 /** Messages that an entry sends to an agent. */
 export type EntryToAgentMessage =
-	StartTasksMessage | CancelTasksMessage | FenceTasksMessage | AcknowledgeOutcomesMessage;
+	StartTasksMessage | CancelTasksMessage | FenceTasksMessage | AssumeHomeMessage | AcknowledgeOutcomesMessage;
 
 /** Messages that an agent sends to an entry. */
-export type AgentToEntryMessage = AgentStateMessage | TaskOutcomesMessage;
+export type AgentToEntryMessage = AgentStateMessage | TaskOutcomesMessage | KnownSubmissionsMessage;
