Refuse homes of epochs before an agent's run, and give up jobs when delisted

Seed 302: a home that was taken off the directory while it went on with handed-over jobs came back and placed one that the new home had run meanwhile.

Change: an agent takes no start under an epoch before the first directory that it got; an entry that isn't listed, or has missed a directory, gives up the shared jobs that it went on with. Also: an operator's drain of an entry that is undone takes it back (it stayed out until a restart; a test was red).

--- a/src/agent/common/agentCore.ts
+++ b/src/agent/common/agentCore.ts
@@ -90,6 +90,9 @@
 		.with({ kind: 'tablesChanged' }, ({ tables: declarations }) => {
 			takeTables(tables, declarations);
 		})
+		.with({ kind: 'directorySeen' }, ({ epoch }) => {
+			tables.firstEpoch = Math.max(tables.firstEpoch, epoch);
+		})
 		.with({ kind: 'drainAsked' }, () => {
 			tables.isDraining = true;
 		})
--- a/src/agent/common/agentInputs.ts
+++ b/src/agent/common/agentInputs.ts
@@ -50,6 +50,8 @@
 	| { readonly kind: 'announced'; readonly announcement: Announcement }
 	| { readonly kind: 'withdrawn' }
 	| { readonly kind: 'tablesChanged'; readonly tables: Tables }
+	/** The first directory of entries that this run of the agent has got. */
+	| { readonly kind: 'directorySeen'; readonly epoch: number }
 	| { readonly kind: 'drainAsked' }
 	| PlatformReport;
 
--- a/src/agent/common/agentTables.ts
+++ b/src/agent/common/agentTables.ts
@@ -54,6 +54,11 @@
 	readonly routeUsage = new RouteUsageTable();
 	/** Highest epoch that was obeyed, by pool. */
 	readonly epochs = new Map<string, number>();
+	/**
+	 * Epoch of the first directory that this run has got. Homes of earlier epochs are refused: an earlier run may have
+	 * obeyed a later home, of which this run remembers nothing.
+	 */
+	firstEpoch = 0;
 	declarations: Tables = emptyTables;
 	/** Indexes of {@link declarations}, made once a change. */
 	poolOfRoute: ReadonlyMap<string, string> = new Map();
@@ -70,6 +75,11 @@
 	/** Time of the last action of the guards; samples that are older than it don't show its effect. */
 	guardActedAtMs = -Infinity;
 
+	/** Least epoch under which starts for a pool are taken. */
+	epochOf(pool: string): number {
+		return Math.max(this.firstEpoch, this.epochs.get(pool) ?? 0);
+	}
+
 	constructor(readonly options: AgentCoreOptions) {
 		this.tasks = new TaskTable(options.identityRetentionMs, options.maxKeptResultBytes);
 	}
--- a/src/agent/common/systems/entryMessageSystem.ts
+++ b/src/agent/common/systems/entryMessageSystem.ts
@@ -212,13 +212,14 @@
 }
 
 function raiseEpoch(tick: AgentTick, epoch: number): void {
-	const { upstream, epochs } = tick.tables;
+	const { tables } = tick;
+	const { upstream } = tables;
 	if (upstream === undefined) {
 		return;
 	}
 	const { pool } = upstream.offer;
-	if (epoch > (epochs.get(pool) ?? 0)) {
-		epochs.set(pool, epoch);
+	if (epoch > tables.epochOf(pool)) {
+		tables.epochs.set(pool, epoch);
 	}
 }
 
--- a/src/agent/common/systems/membershipSystem.ts
+++ b/src/agent/common/systems/membershipSystem.ts
@@ -135,7 +135,7 @@
 	knownTasks: readonly KnownTask[],
 ): AgentStateMessage {
 	const { dataCentre, rack } = tables.options;
-	const epoch = state.offer === undefined ? 0 : (tables.epochs.get(state.offer.pool) ?? 0);
+	const epoch = state.offer === undefined ? 0 : tables.epochOf(state.offer.pool);
 	return { kind: 'agentState', ...state, dataCentre, rack, epoch, knownTasks };
 }
 
--- a/src/agent/common/systems/startRules.ts
+++ b/src/agent/common/systems/startRules.ts
@@ -23,7 +23,7 @@
 	if (!isAccepting(tick)) {
 		return 'leaving';
 	}
-	if (message.epoch < (tables.epochs.get(tables.upstream.offer.pool) ?? 0)) {
+	if (message.epoch < tables.epochOf(tables.upstream.offer.pool)) {
 		return 'olderEpoch';
 	}
 	const limitMs = tables.options.freshnessLimitMs;
--- a/src/agent/node/agentDaemon.ts
+++ b/src/agent/node/agentDaemon.ts
@@ -128,11 +128,16 @@
 
 	private _listen(): void {
 		const { controlPlane, platform } = this._services;
+		let hasSeenDirectory = false;
 		const takeState = (): void => {
 			const { tables, directory } = controlPlane.state;
 			if (tables.revision !== this._tables.declarations.revision) {
 				this._push({ kind: 'tablesChanged', tables });
 			}
+			if (directory.epoch > 0 && !hasSeenDirectory) {
+				hasSeenDirectory = true;
+				this._push({ kind: 'directorySeen', epoch: directory.epoch });
+			}
 			this._links.update(directory.entries);
 		};
 		this._register(controlPlane.onDidChangeState(takeState));
--- a/src/entry/common/entryCore.ts
+++ b/src/entry/common/entryCore.ts
@@ -135,7 +135,7 @@
 				cancelByJobId(tables, jobId, true);
 			})
 			.with({ kind: 'drain' }, () => {
-				tables.isDraining = true;
+				tables.isStopping = true;
 			})
 			.exhaustive();
 	}
@@ -157,6 +157,14 @@
 			return;
 		}
 		const { tables, outputs } = context;
+		if (!mayGoOn(tables, hasMissedDirectories)) {
+			// The homes that this entry handed its pools to have taken over what it went on with.
+			for (const pool of tables.pools.values()) {
+				if (pool.home.kind !== 'self') {
+					leavePool(context, pool, false);
+				}
+			}
+		}
 		for (const { pool, before } of updateHomes(tables, outputs, hasMissedDirectories)) {
 			if (pool.home.kind === 'self') {
 				for (const worker of tables.workersOf(pool.name)) {
--- a/src/entry/common/entryTables.ts
+++ b/src/entry/common/entryTables.ts
@@ -39,7 +39,9 @@
 	/** Rows of the operators' tables by name. */
 	readonly routeRows = new Map<string, RouteRow>();
 	readonly teamRows = new Map<string, TeamRow>();
-	isDraining = false;
+	isStopping = false;
+	/** Whether an operator drains this entry. */
+	isDrainedByOperator = false;
 	/** Whether the control state is too old to take new work. */
 	isStale = true;
 	nowMs = 0;
@@ -112,6 +114,11 @@
 		return route;
 	}
 
+	/** Whether new jobs are refused because the process stops or an operator drains it. */
+	get isDraining(): boolean {
+		return this.isStopping || this.isDrainedByOperator;
+	}
+
 	/** Workers that serve a pool now, connected or not. */
 	workersOf(pool: string): WorkerRow[] {
 		const found: WorkerRow[] = [];
--- a/src/entry/common/systems/controlSystem.ts
+++ b/src/entry/common/systems/controlSystem.ts
@@ -27,9 +27,7 @@
 	for (const worker of tables.workers.values()) {
 		worker.isDrained = drained.has(worker.processId);
 	}
-	if (drained.has(tables.options.processId)) {
-		tables.isDraining = true;
-	}
+	tables.isDrainedByOperator = drained.has(tables.options.processId);
 	stopJobsOfLostPools(tables);
 	return state.directory.epoch > control.directory.epoch + 1;
 }
--- a/src/entry/test/decisions.test.ts
+++ b/src/entry/test/decisions.test.ts
@@ -2,6 +2,7 @@
 import type { Tables } from '../../declarations/common/tables.js';
 import type { TaskEnd } from '../../protocol/common/agentMessages.js';
 import { noNeeds, type JobSubmission } from '../../protocol/common/jobs.js';
+import type { EntryMember } from '../../protocol/common/keeperMessages.js';
 import { EntryCore } from '../common/entryCore.js';
 import { HomePolicy } from '../common/policies/homePolicy.js';
 import type { EntryInput, EntryOutputs } from '../common/tickTypes.js';
@@ -26,15 +27,16 @@
 		1,
 	);
 
+	private readonly _member: EntryMember = {
+		processId: 'entry-1',
+		incarnation: 'run-1',
+		peerAddress: '',
+		dataCentre: 'dc-1',
+		isDraining: false,
+	};
+
 	constructor(workers: number, slots: number, tables: Tables = testTables) {
-		const member = {
-			processId: 'entry-1',
-			incarnation: 'run-1',
-			peerAddress: '',
-			dataCentre: 'dc-1',
-			isDraining: false,
-		};
-		this.tick([{ kind: 'controlState', state: { tables, directory: { epoch: 1, entries: [member] } } }]);
+		this.applyTables(tables);
 		for (let worker = 0; worker < workers; worker += 1) {
 			this.tick([
 				{
@@ -67,6 +69,11 @@
 		}
 	}
 
+	applyTables(tables: Tables): void {
+		const directory = { epoch: 1, entries: [this._member] };
+		this.tick([{ kind: 'controlState', state: { tables, directory } }]);
+	}
+
 	tick(inputs: EntryInput[], tablesAgeMs = 0): EntryOutputs {
 		const outputs = this._core.tick(inputs, { nowMs: this.nowMs, tablesAgeMs });
 		for (const { sessionId, message } of outputs.frames) {
@@ -147,6 +154,16 @@
 	t.true(floodStarts <= 10, `${floodStarts} starts of the flooding team`);
 });
 
+test('an entry that an operator takes back from a drain serves again', (t) => {
+	const bench = new Bench(1, 2);
+	bench.applyTables({ ...testTables, revision: 2, drains: [{ name: 'entry-1' }] });
+	bench.submit(submissionOf('drained', 1));
+	t.like(bench.answers.at(-1), { answer: { status: 'notRun', reason: 'draining' } });
+	bench.applyTables({ ...testTables, revision: 3, drains: [] });
+	bench.submit(submissionOf('served', 1));
+	t.is(bench.started.length, 1);
+});
+
 test('a quota bounds the tasks of a team at the workers', (t) => {
 	const teams = [{ name: 'galleries', maxRunningTasks: 3, weight: 1 }];
 	const bench = new Bench(2, 8, { ...testTables, teams });
--- a/src/entry/test/promises.test.ts
+++ b/src/entry/test/promises.test.ts
@@ -4,6 +4,15 @@
 const firstSeed = Number(process.env.YUCCAARCH_SEED ?? 1);
 const seeds = Number(process.env.YUCCAARCH_SEEDS ?? 60);
 
+/** Seeds that were red once: a home that was frozen, an agent that was started anew meanwhile, a home that goes on. */
+const regressionSeeds = [302, 704, 833];
+
+test('seeds that broke a promise once break none', (t) => {
+	for (const seed of regressionSeeds) {
+		t.deepEqual(runSeed(seed).faults, [], `seed ${seed}`);
+	}
+});
+
 test('no task starts twice, no answer is partial and no refusal untrue, under seeded faults', (t) => {
 	t.timeout(170_000);
 	let complete = 0;
--- a/src/entry/test/simulatedSystem.ts
+++ b/src/entry/test/simulatedSystem.ts
@@ -248,6 +248,8 @@
 					? { state: 'failed', message: 'It failed.', runMs: 50 }
 					: { state: 'done', resultJson: payloadJson, runMs: 50 },
 		});
+		// A run of an agent obeys no home of an epoch before the first directory that it got.
+		agent.epoch = this._directory.epoch;
 		this._agents.set(name, { agent, incarnation });
 	}
 
