Search again for tasks that come back after another entry was the home

The starts of a lagging home were under way when it learned that it is the home again; it asked the workers about tasks in line then, the starts came back as refused or fenced after that, and were placed without asking: three double starts.

Ruled out: asking only after `olderEpoch`. The other home's fence answers first, so the reason is `fenced`.

Change: a shared task that comes back for either reason under an older epoch than the present one is searched for again.

--- a/src/entry/common/systems/outcomeSystem.ts
+++ b/src/entry/common/systems/outcomeSystem.ts
@@ -14,7 +14,7 @@
 import type { EntryOutputs } from '../tickTypes.js';
 import type { AssignedTask, WorkerRow } from '../workerRow.js';
 import { noteRun } from './ejectionSystem.js';
-import { clearSearch } from './searchSystem.js';
+import { clearSearch, searchWaitingJob } from './searchSystem.js';
 
 /** Pause after a worker's queue was full. */
 const fullQueuePauseMs = 20;
@@ -176,6 +176,11 @@
 		job.returnToQueue(taskIndex);
 		pool.requeue(job);
 		tables.changedJobs.add(job);
+		const wasAnotherHome = reason === 'olderEpoch' || reason === 'fenced';
+		if (wasAnotherHome && task.epoch < tables.epoch) {
+			// The search under the newer epoch came before the answer, and so did not cover this task.
+			searchWaitingJob(tables, job);
+		}
 		return;
 	}
 	stopUnlessStopped(job, reason);
--- a/src/entry/common/systems/searchSystem.ts
+++ b/src/entry/common/systems/searchSystem.ts
@@ -58,20 +58,28 @@
  */
 export function searchWaitingJobs(tables: EntryTables, pool: string): void {
 	for (const job of tables.jobs.values()) {
-		const isHere = job.pool === pool && job.phase === 'placing';
-		if (!isHere || !job.isShared || !job.submission.repeatable || job.stop !== undefined) {
-			continue;
-		}
-		if (tables.poolOf(pool).lastLossMs >= job.receivedMs) {
-			stopSearchInVain(tables, job);
-		} else {
-			tables.poolOf(pool).queuedTasks -= job.queuedCount;
-			askWorkers(tables, job);
-			tables.poolOf(pool).queuedTasks += job.queuedCount;
+		if (job.pool === pool) {
+			searchWaitingJob(tables, job);
 		}
 	}
 }
 
+/** Asks once more about the tasks of one shared job that wait here. */
+export function searchWaitingJob(tables: EntryTables, job: JobRow): void {
+	const mayStart = job.phase === 'placing' && job.stop === undefined;
+	if (!mayStart || !job.isShared || !job.submission.repeatable) {
+		return;
+	}
+	const pool = tables.poolOf(job.pool);
+	if (pool.lastLossMs >= job.receivedMs) {
+		stopSearchInVain(tables, job);
+		return;
+	}
+	pool.queuedTasks -= job.queuedCount;
+	askWorkers(tables, job);
+	pool.queuedTasks += job.queuedCount;
+}
+
 /** What a lost worker may have run can't be told, so the job's other tasks must not start. */
 function stopSearchInVain(tables: EntryTables, job: JobRow): void {
 	job.mayHaveStarted = true;
