--- a/src/agent/common/agentSettings.ts
+++ b/src/agent/common/agentSettings.ts
@@ -12,7 +12,10 @@
 export const agentSettingsSchema = z.strictObject({
 	...processSettingsShape,
 	announceAddress: addressSchema.describe('Loopback address on which the upstream announces itself.'),
-	keepers: z.array(keeperEndpointSchema).min(1).describe('The keepers, in order of preference.'),
+	keepers: z
+		.array(keeperEndpointSchema)
+		.min(1)
+		.describe('The keepers. Each process tries them in an order of its own, which spreads the load.'),
 	identityRetentionMs: durationMsSchema
 		.default(600_000)
 		.describe(
--- a/src/entry/common/entrySettings.ts
+++ b/src/entry/common/entrySettings.ts
@@ -19,7 +19,10 @@
 	advertisedPeerAddress: addressSchema
 		.optional()
 		.describe('Peer address that others are told, where it differs from the one that is bound.'),
-	keepers: z.array(keeperEndpointSchema).min(1).describe('The keepers, in order of preference.'),
+	keepers: z
+		.array(keeperEndpointSchema)
+		.min(1)
+		.describe('The keepers. Each process tries them in an order of its own, which spreads the load.'),
 	freshnessLimitMs: durationMsSchema
 		.default(3000)
 		.describe(
