--- a/src/code/node/main.ts
+++ b/src/code/node/main.ts
@@ -21,6 +21,8 @@
 		burn: () => import('./commands/burnCommand.js').then((module) => module.burnCommand),
 		demo: () => import('./commands/demoCommand.js').then((module) => module.demoCommand),
 		bench: () => import('./commands/benchCommand.js').then((module) => module.benchCommand),
+		'bench-compare': () =>
+			import('./commands/benchCompareCommand.js').then((module) => module.benchCompareCommand),
 		soak: () => import('./commands/soakCommand.js').then((module) => module.soakCommand),
 		slopes: () => import('./commands/slopesCommand.js').then((module) => module.slopesCommand),
 	},
--- a/src/replication/node/replicatedLog.ts
+++ b/src/replication/node/replicatedLog.ts
@@ -309,7 +309,7 @@
 		if (isSame) {
 			return;
 		}
-		this._options.log.info('replica.statusChanged', { role, term, leaderId });
+		this._options.log.info('replica.statusChanged', { replicaRole: role, term, leaderId });
 		if (before.members !== members) {
 			this._connectToMembers();
 		}
