--- a/src/bench/common/benchReport.ts
+++ b/src/bench/common/benchReport.ts
@@ -21,15 +21,22 @@
 	readonly unanswered: number;
 }
 
-/** Result of one run. */
-export interface BenchReport {
+/** What a run is made of. */
+export interface RunParameters {
 	readonly policy: string;
 	readonly scenario: ScenarioName;
 	readonly deployment: DeploymentName;
+	/** Offered work as a share of what the slots can do. */
 	readonly load: number;
 	readonly seed: number;
+	/** Time over which jobs arrive. */
 	readonly durationMs: number;
+	/** Whether jobs have idempotency keys. */
 	readonly isKeyed: boolean;
+}
+
+/** Result of one run. */
+export interface BenchReport extends RunParameters {
 	readonly jobs: number;
 	readonly tasks: number;
 	readonly outcomes: OutcomeCounts;
--- a/src/bench/common/benchSummary.ts
+++ b/src/bench/common/benchSummary.ts
@@ -1,9 +1,8 @@
 /** Turns what a run recorded into its report. */
 
 import type { PromiseName } from '../../proof/common/auditRecords.js';
-import { percentilesOf, type BenchReport, type OutcomeCounts } from './benchReport.js';
-import type { DeploymentName } from './deployment.js';
-import type { ArrivingJob, ScenarioName } from './workload.js';
+import { percentilesOf, type BenchReport, type OutcomeCounts, type RunParameters } from './benchReport.js';
+import type { ArrivingJob } from './workload.js';
 
 /** How one job ended for its reader. */
 export interface EndedJob {
@@ -24,14 +23,7 @@
 }
 
 /** What a run recorded. */
-export interface RunRecords {
-	readonly policy: string;
-	readonly scenario: ScenarioName;
-	readonly deployment: DeploymentName;
-	readonly load: number;
-	readonly seed: number;
-	readonly durationMs: number;
-	readonly isKeyed: boolean;
+export interface RunRecords extends RunParameters {
 	readonly jobs: readonly ArrivingJob[];
 	readonly ended: readonly EndedJob[];
 	/** Ideal response by `jobIndex`, without the reader's round trip. */
--- a/src/bench/node/benchRun.ts
+++ b/src/bench/node/benchRun.ts
@@ -7,29 +7,17 @@
 import type { StartRecord } from '../../proof/common/auditRecords.js';
 import { startsOfJournals } from '../../proof/common/journalStarts.js';
 import { LocalSystem, type AgentPlan } from '../../proof/node/localSystem.js';
-import type { BenchReport } from '../common/benchReport.js';
+import type { BenchReport, RunParameters } from '../common/benchReport.js';
 import { summarizeRun, type MessageCounts } from '../common/benchSummary.js';
-import { deployments, type Deployment, type DeploymentName } from '../common/deployment.js';
+import { deployments, type Deployment } from '../common/deployment.js';
 import { idealResponses } from '../common/idealSchedule.js';
 import { planScenario, type ScenarioPlan } from '../common/scenarioPlan.js';
-import { drawArrivals, type ArrivingJob, type ScenarioName } from '../common/workload.js';
+import { drawArrivals, type ArrivingJob } from '../common/workload.js';
 import { applyBenchTables, benchDeadlineMs, benchPool, benchRoute } from './benchTables.js';
 import { readMessageCounts, subtractCounts } from './entryCounters.js';
 import { toEndedJob, toReaderRecord } from './readerRecords.js';
 import type { JobRecord, SenderMessage, SenderOptions } from './senderProtocol.js';
 
-/** What a run is made of. */
-export interface BenchOptions {
-	readonly policy: string;
-	readonly load: number;
-	readonly scenario: ScenarioName;
-	readonly seed: number;
-	readonly durationMs: number;
-	readonly deployment: DeploymentName;
-	/** Whether jobs have idempotency keys. */
-	readonly isKeyed: boolean;
-}
-
 /** Connections to each entry that readers hold from the start, so that a response has no connection set-up in it. */
 const warmConnections = 48;
 const senderThreadFile = new URL('./senderThread.js', import.meta.url);
@@ -40,7 +28,7 @@
  * @example
  * const report = await runBench({ policy: 'home', load: 0.8, scenario: 'steady', seed: 1, durationMs: 30_000, deployment: 'registro', isKeyed: false });
  */
-export async function runBench(options: BenchOptions): Promise<BenchReport> {
+export async function runBench(options: RunParameters): Promise<BenchReport> {
 	const run = new BenchRun(options);
 	try {
 		return await run.execute();
@@ -55,7 +43,7 @@
 	private readonly _plan: ScenarioPlan;
 	private _startedAtMs = 0;
 
-	constructor(private readonly _options: BenchOptions) {
+	constructor(private readonly _options: RunParameters) {
 		super();
 		this._deployment = deployments[_options.deployment];
 		const slots = this._deployment.workers * this._deployment.slotsPerWorker;
--- a/src/bench/node/fullBench.ts
+++ b/src/bench/node/fullBench.ts
@@ -1,7 +1,7 @@
 /** The whole bench: a run under load, an idle system, and the start rate of one entry, as one report. */
 
-import type { BenchReport } from '../common/benchReport.js';
-import { runBench, type BenchOptions } from './benchRun.js';
+import type { BenchReport, RunParameters } from '../common/benchReport.js';
+import { runBench } from './benchRun.js';
 import { measureIdleOverhead, type IdleOverhead } from './idleOverheadBench.js';
 import { measureStartRate, type StartRate } from './startRateBench.js';
 
@@ -21,7 +21,7 @@
  * const report = await runFullBench(options, ['load', 'idle']);
  */
 export async function runFullBench(
-	options: BenchOptions,
+	options: RunParameters,
 	parts: readonly BenchPart[],
 ): Promise<FullBenchReport> {
 	const load = parts.includes('load') ? await runBench(options) : {};
--- a/src/bench/node/policyComparison.ts
+++ b/src/bench/node/policyComparison.ts
@@ -2,16 +2,16 @@
 
 import { mkdirSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
-import type { BenchReport } from '../common/benchReport.js';
+import type { BenchReport, RunParameters } from '../common/benchReport.js';
 import { drawPolicies, renderPolicyTable } from '../common/policyPlot.js';
-import { runBench, type BenchOptions } from './benchRun.js';
+import { runBench } from './benchRun.js';
 
 /** What is compared. */
 export interface ComparisonOptions {
 	readonly policies: readonly string[];
 	readonly loads: readonly number[];
 	/** Options of each run but its policy and load. */
-	readonly run: Omit<BenchOptions, 'policy' | 'load'>;
+	readonly run: Omit<RunParameters, 'policy' | 'load'>;
 	/** Folder for `policies.svg`, `policies.json` and `POLICIES.md`. */
 	readonly folder: string;
 	/** Told of each report as it comes. */
