Refuse what waits at a superseded entry that is cut off

Cause: agents now hear of a new home at once and refuse the old one.

Ruled out: a late refusal by the entry's admission; the job that was slow had been taken before the limit.

Change: once its tables are stale, an entry refuses such jobs as staleTables.

--- a/src/entry/common/entryCore.ts
+++ b/src/entry/common/entryCore.ts
@@ -13,7 +13,7 @@
 import { submitLocally } from './systems/admissionSystem.js';
 import { cancelByJobId, dropReader } from './systems/cancelSystem.js';
 import { applyControlState } from './systems/controlSystem.js';
-import { answerLateJobs, refuseHopelessJobs } from './systems/deadlineSystem.js';
+import { answerLateJobs, refuseHopelessJobs, refuseSupersededJobs } from './systems/deadlineSystem.js';
 import { mayGoOn, stopLateHandOvers, takeEarlyHandOver } from './systems/handOverSystem.js';
 import { acknowledgeOldOutcomes, applyOutcomes } from './systems/outcomeSystem.js';
 import { placeTasks } from './systems/placementSystem.js';
@@ -74,6 +74,7 @@
 			acknowledgeOldOutcomes(tables);
 			forgetLostWorkers(tables);
 			refuseHopelessJobs(tables);
+			refuseSupersededJobs(tables);
 		}
 		if (this._policy.usesHome) {
 			settleHomes(tables);
--- a/src/entry/common/systems/deadlineSystem.ts
+++ b/src/entry/common/systems/deadlineSystem.ts
@@ -34,6 +34,28 @@
 	}
 }
 
+/**
+ * Refuses what waits at an entry that agents no longer obey and that can't learn who is the home, because it is cut
+ * off from the keepers. Its readers would wait for their deadline in vain.
+ */
+export function refuseSupersededJobs(tables: EntryTables): void {
+	if (!tables.isStale) {
+		return;
+	}
+	for (const job of tables.jobs.values()) {
+		const isSuperseded = tables.poolOf(job.pool).refusedEpoch >= tables.epoch;
+		if (isSuperseded && job.phase === 'placing' && job.queuedCount > 0) {
+			stopJob(tables, job, superseded);
+		}
+	}
+}
+
+const superseded: PendingRefusal = {
+	reason: 'staleTables',
+	message: 'Another entry has taken over the pool, and this one is cut off from the keepers.',
+	retryAfterMs: announceWaitMs,
+};
+
 function refuseHopelessJobsOf(tables: EntryTables, pool: PoolState): void {
 	const workers = tables.workersOf(pool.name);
 	const present = workers.filter((worker) => worker.sessionId !== undefined);
