Wait until the keeper that is read has applied the change

A follower applies a change after its acceptance, and 'after' was not there yet.

Ruled out: a lost change. What was missing is the newest of three, the two that came before the losses were there, and the keeper was a caught-up voter.

Change: the check waits until the keeper says that it has the revision, and then compares all three as before. Other reads in the keepers' tests wait already or read the keeper that accepted the change.

Conclusion: the check was wrong in when it looked, not in what it asks.

--- a/src/proof/test/keeperFixture.ts
+++ b/src/proof/test/keeperFixture.ts
@@ -140,6 +140,16 @@
 		return ((await this.ask(keeper, '/v1/tables')).body as TablesBody).tables;
 	}
 
+	/** The tables that a keeper has in force, once it has applied a revision; followers do so after its acceptance. */
+	async tablesAt(keeper: LocalKeeper, revision: number): Promise<Tables> {
+		let tables = await this.tables(keeper);
+		await waitFor(`${keeper.name} has applied revision ${revision}`, 10_000, async () => {
+			tables = await this.tables(keeper);
+			return tables.revision >= revision;
+		});
+		return tables;
+	}
+
 	async history(keeper: LocalKeeper): Promise<HistoryBody> {
 		return (await this.ask(keeper, '/v1/changes?limit=1000')).body as HistoryBody;
 	}
--- a/src/proof/test/keeperGroup.test.ts
+++ b/src/proof/test/keeperGroup.test.ts
@@ -323,7 +323,7 @@
 			}
 			await fixture.changeSurely(fixture.keepers, 2, 'after');
 			await fixture.waitInForce(3, [agent!]);
-			const { drains } = await fixture.tables(fixture.keepers[1]!);
+			const { drains } = await fixture.tablesAt(fixture.keepers[1]!, 3);
 			t.deepEqual(
 				drains.map((drain) => drain.name),
 				['after', 'before-loss-0', 'before-loss-1'],
