Trust the workers' answer to a new home after a cold start too

A home whose predecessor it does not know asked every worker about each keyed job for the 10 minutes of key retention, and one that had gone could not answer, so the job failed as mayHaveRun.

Change: each tenure asks each worker once. Asked about at every worker are only jobs that the earlier home may go on with under the same epoch: those that it named, which it must before it starts any further task, and those that another entry had at a lost home. The question of who was home before is gone.

--- a/src/entry/common/poolState.ts
+++ b/src/entry/common/poolState.ts
@@ -17,12 +17,6 @@
 	readonly sinceMs: number;
 	/** Earlier home, by process id, that has yet to say which submissions it goes on with. */
 	earlierHome: string | undefined;
-	/**
-	 * Whether the home before this one is known, and is not listed under the tenure's epoch, so that it can start
-	 * nothing under that epoch. One that is listed may go on with jobs of its own; then only fencing each task keeps
-	 * it from starting them.
-	 */
-	readonly isEarlierHomeGone: boolean;
 	/** Whether shared jobs may be searched for and placed. */
 	isSettled: boolean;
 }
--- a/src/entry/common/systems/searchSystem.ts
+++ b/src/entry/common/systems/searchSystem.ts
@@ -12,7 +12,7 @@
 import type { EntryTables } from '../entryTables.js';
 import { endTask, enqueue, stopJob } from '../jobLife.js';
 import type { JobRow } from '../jobRow.js';
-import type { Tenure } from '../poolState.js';
+import type { PoolState } from '../poolState.js';
 import type { WorkerRow } from '../workerRow.js';
 
 /** Placements of one task that an epoch has numbers for. */
@@ -90,10 +90,10 @@
 }
 
 function askWorkers(tables: EntryTables, job: JobRow): void {
-	const { tenure } = tables.poolOf(job.pool);
-	const workers = tables.workersOf(job.pool).filter((worker) => mayKnow(worker, job, tenure));
+	const pool = tables.poolOf(job.pool);
+	const workers = tables.workersOf(job.pool).filter((worker) => mayKnow(worker, job, pool));
 	job.hasBeenSearched = true;
-	job.searchedUnder = tenure;
+	job.searchedUnder = pool.tenure;
 	if (workers.length === 0) {
 		return;
 	}
@@ -105,12 +105,19 @@
 
 /**
  * Whether an earlier home can have started, or can still start, tasks of a job at a worker. One that has said what it
- * knows, under the present tenure, need not be asked about anything else, also when it is lost later. That holds only
- * if the earlier home was gone before the worker was asked.
+ * knows, under the present tenure, need not be asked about anything else, also when it is lost later. The exceptions
+ * are the jobs that an earlier home may go on with under the present epoch: those that it has named to this entry, and
+ * those that it held for the entry that now relays them here.
  */
-function mayKnow(worker: WorkerRow, job: JobRow, tenure: Tenure | undefined): boolean {
+function mayKnow(worker: WorkerRow, job: JobRow, { tenure, ownedElsewhere }: PoolState): boolean {
 	const isCleared = tenure !== undefined && worker.clearedUnder === tenure;
-	return !isCleared || worker.knownSubmissions.has(job.submissionId);
+	const { submissionId, mayHaveStarted } = job;
+	return (
+		!isCleared ||
+		mayHaveStarted ||
+		worker.knownSubmissions.has(submissionId) ||
+		ownedElsewhere.has(submissionId)
+	);
 }
 
 /** Tells a worker that this entry is its pool's home, unless it has answered already. */
@@ -120,7 +127,7 @@
 		return;
 	}
 	const { tenure } = tables.poolOf(pool);
-	if (tenure?.isEarlierHomeGone === true && worker.clearedUnder !== tenure) {
+	if (tenure !== undefined && worker.clearedUnder !== tenure) {
 		tables.outbox.to(sessionId).assumedPool = pool;
 		worker.askedUnder = { tenure, epoch: tables.epoch };
 	}
--- a/src/entry/common/systems/tenureSystem.ts
+++ b/src/entry/common/systems/tenureSystem.ts
@@ -29,13 +29,13 @@
 		const after = homeOf(pool.name, tables.control.directory.entries, tables.options.processId);
 		if (isSameHome(before, after)) {
 			if (hasMissedDirectories && after.kind === 'self') {
-				pool.tenure = beginTenure(tables, before, hasMissedDirectories);
+				pool.tenure = beginTenure(tables, before);
 				changed.push({ pool, before });
 			}
 			continue;
 		}
 		pool.home = after;
-		pool.tenure = after.kind === 'self' ? beginTenure(tables, before, hasMissedDirectories) : undefined;
+		pool.tenure = after.kind === 'self' ? beginTenure(tables, before) : undefined;
 		pool.ownedElsewhere.clear();
 		changed.push({ pool, before });
 		logHome(tables, pool, outputs);
@@ -55,10 +55,8 @@
 	}
 }
 
-function beginTenure(tables: EntryTables, before: PoolHome, hasMissedDirectories: boolean): Tenure {
-	const earlierHome = earlierHomeOf(tables, before);
-	const isEarlierHomeGone = before.kind === 'other' && earlierHome === undefined && !hasMissedDirectories;
-	return { sinceMs: tables.nowMs, earlierHome, isEarlierHomeGone, isSettled: false };
+function beginTenure(tables: EntryTables, before: PoolHome): Tenure {
+	return { sinceMs: tables.nowMs, earlierHome: earlierHomeOf(tables, before), isSettled: false };
 }
 
 /** The earlier home, if it lives on and so may go on with jobs of its own. */
--- a/src/entry/test/promises.test.ts
+++ b/src/entry/test/promises.test.ts
@@ -5,7 +5,7 @@
 const seeds = Number(process.env.YUCCAARCH_SEEDS ?? 60);
 
 /** Seeds that were red once: a home that was frozen, an agent that was started anew meanwhile, a home that goes on. */
-const regressionSeeds = [302, 704, 833, 1794];
+const regressionSeeds = [33, 302, 704, 833, 1794];
 
 test('seeds that broke a promise once break none', (t) => {
 	for (const seed of regressionSeeds) {
--- a/src/entry/test/simulatedSystem.ts
+++ b/src/entry/test/simulatedSystem.ts
@@ -122,6 +122,17 @@
 		this.nowMs = atMs;
 	}
 
+	/** The entry that is the home of the pool by its own account. */
+	get home(): SimulatedEntry {
+		const home = this.entries.find(
+			(entry) => entry.isAlive && entry.core.tables.pools.get(pool)?.home.kind === 'self',
+		);
+		if (home === undefined) {
+			throw new Error('No entry is the home of the pool.');
+		}
+		return home;
+	}
+
 	/** Runs something later. */
 	after(waitMs: number, run: () => void): void {
 		this._events.push({ atMs: this.nowMs + waitMs, order: (this._lastId += 1), run });
@@ -160,13 +171,24 @@
 		}
 	}
 
-	restartAgent(): void {
-		const name = this.random.pick([...this._agents.keys()]);
+	/** Ends an agent for good. */
+	loseAgent(name: string): void {
+		this._endAgent(name);
+		this._agents.delete(name);
+	}
+
+	private _endAgent(name: string): void {
 		const known = this._agents.get(name);
 		if (known !== undefined) {
 			known.agent.isGone = true;
 		}
 		this._closeAll((session) => 'agent' in session.peer && session.peer.agent === name);
+	}
+
+	/** Ends an agent; a new run follows. */
+	restartAgent(): void {
+		const name = this.random.pick([...this._agents.keys()]);
+		this._endAgent(name);
 		this._startAgent(name);
 		this.after(this.random.integer(20, 400), () => {
 			for (const entry of this.entries) {
@@ -175,6 +197,7 @@
 		});
 	}
 
+	/** Kills an entry; a new run follows. */
 	killEntry(): void {
 		const entry = this.random.pick(this.entries);
 		if (!entry.isAlive || this.entries.filter((other) => other.isAlive).length < 2) {
@@ -183,9 +206,14 @@
 		this._replace(entry);
 	}
 
-	private _replace(entry: SimulatedEntry): void {
+	/** Kills an entry for good. */
+	loseEntry(entry: SimulatedEntry): void {
 		entry.isAlive = false;
 		this._closeAll((session) => session.entry === entry);
+	}
+
+	private _replace(entry: SimulatedEntry): void {
+		this.loseEntry(entry);
 		this.after(this.random.integer(200, 3000), () => {
 			this._startEntry(entry.processId);
 		});
