Refuse settings that contradict each other, and answer what a drain can't wait for

Cause: maxDeadlineMs of a route is 60 s by default and drainTimeoutMs of an entry or agent was 30 s, so a drain ended with open jobs, whose readers saw a broken connection. Nothing compared the two.

Change: the default of drainTimeoutMs is 70 s. One rule (drainRule: 2 s more than the longest deadline) is used by 'yuccaarch check', which takes settings and declarations together, and by the keepers, which refuse a changed route that a known process could not drain: the keeper that takes the request adds the shortest drain that it knows to the command, so that all keepers decide alike and a resend gets its first result. Only routes that the change puts count; a drain of a process is never refused for an older contradiction. If a drain is too short all the same, the entry answers what is open 2 s before its end, truthfully.

Ruled out: ending a running entry for such settings (it can serve and answer truthfully, so that would only cost readers), and a check at the keeper's HTTP interface (a resend of an accepted change could be refused there).

--- a/src/agent/node/agentDaemon.ts
+++ b/src/agent/node/agentDaemon.ts
@@ -50,17 +50,17 @@
 	private _publishedStatus: PublishedState | undefined;
 
 	private constructor(
-		settings: AgentSettings,
+		private readonly _settings: AgentSettings,
 		private readonly _services: AgentServices,
 	) {
 		super();
 		const { identity, controlPlane, platform, log } = _services;
 		this._register(controlPlane);
 		this._register(platform);
-		this._tables = new AgentTables({ ...settings, incarnation: identity.incarnation });
+		this._tables = new AgentTables({ ..._settings, incarnation: identity.incarnation });
 		this._metrics = new AgentMetrics(_services.metrics, this._tables);
 		const limits = { ...defaultConnectionLimits, heartbeatIntervalMs };
-		const connection = { identity, secret: settings.sharedSecret, limits };
+		const connection = { identity, secret: _settings.sharedSecret, limits };
 		this._links = this._register(new EntryLinks(connection, log));
 		const levelsTimer = setInterval(() => {
 			this._metrics.sendLevels();
@@ -267,6 +267,7 @@
 			rack: options.rack,
 			isDraining: published.isLeaving,
 			revisionInForce: published.revision,
+			drainTimeoutMs: this._settings.drainTimeoutMs,
 			offer: published.offer,
 		});
 	}
--- a/src/code/node/commands/checkCommand.ts
+++ b/src/code/node/commands/checkCommand.ts
@@ -1,47 +1,45 @@
 /** `yuccaarch check`: Checks a settings file or a declaration without starting anything. */
 
 import { defineCommand } from 'citty';
-import type { z } from 'zod';
 import { agentSettingsSchema } from '../../../agent/common/agentSettings.js';
 import { declarationSchema, joinDeclarations } from '../../../declarations/common/declaration.js';
+import { findShortDrains, type DrainSettings } from '../../../declarations/common/drainRule.js';
 import { entrySettingsSchema } from '../../../entry/common/entrySettings.js';
 import { keeperSettingsSchema } from '../../../keeper/common/keeperSettings.js';
 import { reportSettingsError } from '../../../platform/daemon/node/daemon.js';
+import { SettingsError } from '../../../platform/settings/common/settingsError.js';
 import { checkSettings, readToml } from '../../../platform/settings/node/loadSettings.js';
 
 /** What a file can be. */
 type FileKind = 'entry' | 'agent' | 'keeper' | 'declaration';
 
-const settingsSchemas: Readonly<Record<Exclude<FileKind, 'declaration'>, z.ZodType>> = {
-	entry: entrySettingsSchema,
-	agent: agentSettingsSchema,
-	keeper: keeperSettingsSchema,
-};
+const settingsSchemas = { entry: entrySettingsSchema, agent: agentSettingsSchema } as const;
 
 /** The command's definition. */
 export const checkCommand = defineCommand({
 	meta: {
 		name: 'check',
 		description:
-			'Checks settings or declarations without starting anything. Exit codes: 0 good, 2 faulty. ' +
-			'Example: yuccaarch check entry-1.toml',
+			'Checks settings and declarations without starting anything; files of both kinds are checked against ' +
+			'each other. Exit codes: 0 good, 2 faulty. Example: yuccaarch check entry-1.toml routes.toml',
 	},
 	args: {
 		file: {
 			type: 'positional',
 			required: true,
-			description: 'Settings of one process, or declarations that belong together.',
+			description: 'Settings of processes, and declarations that belong together.',
 		},
 		kind: {
 			type: 'enum',
 			options: ['entry', 'agent', 'keeper', 'declaration'],
-			description: 'What the file is; by default it is told by its keys.',
+			description: 'What the files are; by default it is told by the keys of each.',
 		},
 		json: { type: 'boolean', default: false, description: 'Prints one JSON object.' },
 	},
 	run: ({ args }) => {
 		try {
-			const kind = checkFiles(args._, args.kind);
+			const kinds = checkFiles(args._, args.kind);
+			const kind = [...new Set(kinds)].join(' and ');
 			const text = args.json
 				? JSON.stringify({ isGood: true, kind, files: args._ })
 				: `${args._.join(', ')}: good (${kind}).`;
@@ -52,22 +50,42 @@
 	},
 });
 
-function checkFiles(files: readonly string[], givenKind: FileKind | undefined): FileKind {
-	const contents = files.map((file) => ({ file, content: readToml(file) }));
-	const kind = givenKind ?? kindOf(contents[0]?.content);
-	if (kind === 'declaration') {
-		joinDeclarations(
-			contents.map(({ file, content }) => ({
-				file,
-				declaration: checkSettings(file, content, declarationSchema),
-			})),
+/** A file with what it is and holds. */
+interface CheckedFile {
+	readonly file: string;
+	readonly kind: FileKind;
+	readonly content: unknown;
+}
+
+/** Checks each file by itself and then against the others; returns the kind of each. */
+function checkFiles(paths: readonly string[], givenKind: FileKind | undefined): FileKind[] {
+	const files = paths.map((file): CheckedFile => {
+		const content = readToml(file);
+		return { file, kind: givenKind ?? kindOf(content), content };
+	});
+	const drains = files.filter(({ kind }) => kind !== 'declaration').flatMap((file) => checkProcess(file));
+	const declarations = files
+		.filter(({ kind }) => kind === 'declaration')
+		.map(({ file, content }) => ({ file, declaration: checkSettings(file, content, declarationSchema) }));
+	const { routes } = joinDeclarations(declarations);
+	const faults = findShortDrains(drains, routes);
+	if (faults.length > 0) {
+		const file = declarations.map((declaration) => declaration.file).join(', ');
+		throw new SettingsError(
+			faults.map(({ route, message }) => ({ file, key: `routes.${route}.maxDeadlineMs`, message })),
 		);
-		return kind;
 	}
-	for (const { file, content } of contents) {
-		checkSettings(file, content, settingsSchemas[kind]);
+	return files.map(({ kind }) => kind);
+}
+
+/** Checks the settings of one process, and returns what must agree with the routes. */
+function checkProcess({ file, kind, content }: CheckedFile): DrainSettings[] {
+	if (kind === 'entry' || kind === 'agent') {
+		const { drainTimeoutMs } = checkSettings(file, content, settingsSchemas[kind]);
+		return [{ place: file, drainTimeoutMs }];
 	}
-	return kind;
+	checkSettings(file, content, keeperSettingsSchema);
+	return [];
 }
 
 /** Tells the kind of a file by a key that only this kind has. */
--- a/src/code/node/test/operatorOperations.test.ts
+++ b/src/code/node/test/operatorOperations.test.ts
@@ -84,6 +84,20 @@
 	});
 });
 
+test('a route whose jobs may outlast the drain of a running entry is refused with both keys', async (t) => {
+	await withKeepers(['keeper-1'], async (harness, keepers, client) => {
+		harness.startClient('entry-1', 'entry', keepers, { drainTimeoutMs: 30_000 });
+		await waitFor('the keeper knows the entry', 5000, async () => {
+			const status = await client.status();
+			return status.isOk() && status.value.processes.some(({ processId }) => processId === 'entry-1');
+		});
+		const result = await applyDeclaration(client, declared, options);
+		t.is(result.exitCode, 14);
+		t.regex(result.text, /maxDeadlineMs = 60000[^]*entry-1[^]*drainTimeoutMs = 30000/);
+		t.is((await client.tables()).unwrap().tables.revision, 0);
+	});
+});
+
 test('a change whose answer is lost is sent again to another keeper, and made once', async (t) => {
 	await withKeepers(['keeper-1', 'keeper-2'], async (harness, keepers) => {
 		const lossy = await swallowAnswers(harness, operatorAddress(keepers[0]!));
--- a/src/entry/common/entryCore.ts
+++ b/src/entry/common/entryCore.ts
@@ -13,7 +13,12 @@
 import { submitLocally } from './systems/admissionSystem.js';
 import { cancelByJobId, dropReader } from './systems/cancelSystem.js';
 import { applyControlState } from './systems/controlSystem.js';
-import { answerLateJobs, refuseHopelessJobs, refuseSupersededJobs } from './systems/deadlineSystem.js';
+import {
+	answerJobsOfEndedDrain,
+	answerLateJobs,
+	refuseHopelessJobs,
+	refuseSupersededJobs,
+} from './systems/deadlineSystem.js';
 import { mayGoOn, stopLateHandOvers, takeEarlyHandOver } from './systems/handOverSystem.js';
 import { acknowledgeOldOutcomes, applyOutcomes } from './systems/outcomeSystem.js';
 import { placeTasks } from './systems/placementSystem.js';
@@ -69,6 +74,7 @@
 			this._apply(context, input);
 		}
 		answerLateJobs(tables, outputs);
+		answerJobsOfEndedDrain(tables, outputs);
 		if (tables.nowMs >= this._nextSlowMs) {
 			this._nextSlowMs = tables.nowMs + slowIntervalMs;
 			acknowledgeOldOutcomes(tables);
@@ -135,8 +141,9 @@
 			.with({ kind: 'cancelJob' }, ({ jobId }) => {
 				cancelByJobId(tables, jobId, true);
 			})
-			.with({ kind: 'drain' }, () => {
+			.with({ kind: 'drain' }, ({ answerWithinMs }) => {
 				tables.isStopping = true;
+				tables.drainEndsAtMs = tables.nowMs + answerWithinMs;
 			})
 			.exhaustive();
 	}
--- a/src/entry/common/entrySettings.ts
+++ b/src/entry/common/entrySettings.ts
@@ -49,7 +49,7 @@
 		.optional()
 		.describe('Token for reading counters and the burn report; absent means that neither is served.'),
 	drainTimeoutMs: durationMsSchema
-		.default(30_000)
+		.default(70_000)
 		.describe('Time that a drain may take before the process gives up.'),
 	policy: z.enum(policyNames).default('home').describe('Placement policy.'),
 });
--- a/src/entry/common/entryTables.ts
+++ b/src/entry/common/entryTables.ts
@@ -40,6 +40,8 @@
 	readonly routeRows = new Map<string, RouteRow>();
 	readonly teamRows = new Map<string, TeamRow>();
 	isStopping = false;
+	/** When a drain answers what is still open, since the process ends soon after. */
+	drainEndsAtMs = Infinity;
 	/** Whether an operator drains this entry. */
 	isDrainedByOperator = false;
 	/** Whether the control state is too old to take new work. */
--- a/src/entry/common/systems/deadlineSystem.ts
+++ b/src/entry/common/systems/deadlineSystem.ts
@@ -5,7 +5,7 @@
 import type { PendingRefusal } from '../jobRow.js';
 import type { PoolState } from '../poolState.js';
 import type { EntryOutputs } from '../tickTypes.js';
-import { deadlineVerdict } from '../verdict.js';
+import { deadlineVerdict, drainVerdict } from '../verdict.js';
 
 /** Time by which a relayed job's home may answer after the deadline; its clock started a transfer later. */
 const relayGraceMs = 100;
@@ -25,6 +25,16 @@
 	}
 }
 
+/** Answers every open job once a drain can't wait any longer: a truthful answer goes before a broken connection. */
+export function answerJobsOfEndedDrain(tables: EntryTables, outputs: EntryOutputs): void {
+	if (tables.nowMs < tables.drainEndsAtMs) {
+		return;
+	}
+	for (const job of [...tables.jobs.values()]) {
+		finishJob(tables, outputs, job, drainVerdict(job));
+	}
+}
+
 /** Refuses jobs that no worker of their pool could ever hold, once workers have had time to announce themselves. */
 export function refuseHopelessJobs(tables: EntryTables): void {
 	for (const pool of tables.pools.values()) {
--- a/src/entry/common/tickTypes.ts
+++ b/src/entry/common/tickTypes.ts
@@ -28,8 +28,8 @@
 	| { readonly kind: 'readerGone'; readonly readerId: number }
 	/** A reader cancelled a job by its id, here or at another entry. */
 	| { readonly kind: 'cancelJob'; readonly jobId: string }
-	/** The process is to stop: nothing new is taken. */
-	| { readonly kind: 'drain' };
+	/** The process is to stop: nothing new is taken, and what is open is answered within the time that is left. */
+	| { readonly kind: 'drain'; readonly answerWithinMs: number };
 
 /** The time and age at which a tick runs. */
 export interface TickClock {
--- a/src/entry/common/verdict.ts
+++ b/src/entry/common/verdict.ts
@@ -34,17 +34,27 @@
 
 /** The answer to a job whose deadline has passed. */
 export function deadlineVerdict(job: JobRow): JobAnswer {
+	const message = `The deadline of ${job.submission.remainingMs} ms has passed.`;
+	return unfinishedVerdict(job, { reason: 'deadlinePassed', message }, 'deadlinePassed');
+}
+
+/** The answer to a job whose end a drain can't wait for. */
+export function drainVerdict(job: JobRow): JobAnswer {
+	const message = 'The entry is stopping and can not wait for the end of the job.';
+	return unfinishedVerdict(job, { reason: 'draining', message, retryAfterMs: 0 }, 'entryLost');
+}
+
+/** The answer to a job of which some tasks may still run or wait. */
+function unfinishedVerdict(job: JobRow, refusal: PendingRefusal, reason: FailureReason): JobAnswer {
 	const whole = verdictOf(job);
 	if (whole !== undefined) {
 		return whole;
 	}
 	const mayHaveRun = job.mayHaveStarted || job.phase === 'relayed' || !job.isUntouched;
-	const message = `The deadline of ${job.submission.remainingMs} ms has passed.`;
 	if (!mayHaveRun) {
-		return notRun({ reason: 'deadlinePassed', message });
+		return notRun(refusal);
 	}
-	const reason = job.stop?.reason === 'cancelled' ? 'cancelled' : 'deadlinePassed';
-	return failed(job, 'mayHaveRun', reason, message);
+	return failed(job, 'mayHaveRun', job.stop?.reason === 'cancelled' ? 'cancelled' : reason, refusal.message);
 }
 
 /** The answer to a job that this entry won't queue, of which an earlier home may have started tasks. */
--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -1,5 +1,6 @@
 /** An entry as a process: sockets and timers around the core. */
 
+import { drainMarginMs } from '../../declarations/common/drainRule.js';
 import { randomUUID } from 'node:crypto';
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -172,7 +173,10 @@
 	async drain(): Promise<void> {
 		this._isDraining = true;
 		this._publishStatus();
-		this._loop.push({ kind: 'drain' });
+		this._loop.push({
+			kind: 'drain',
+			answerWithinMs: Math.max(0, this._options.settings.drainTimeoutMs - drainMarginMs),
+		});
 		const untilMs = performance.now() + drainNoticeMs;
 		const { jobs } = this._core.tables;
 		const handOverUntilMs = performance.now() + handOverTimeoutMs;
@@ -233,6 +237,7 @@
 			rack: settings.rack,
 			isDraining: this._isDraining || isDrained,
 			revisionInForce: tables.revision,
+			drainTimeoutMs: settings.drainTimeoutMs,
 		};
 		this._control.setStatus(status);
 	}
--- a/src/entry/test/drain.test.ts
+++ b/src/entry/test/drain.test.ts
@@ -52,3 +52,42 @@
 		t.deepEqual(system.doubleStarts, []);
 	}
 });
+
+test('a job that outlasts the time of a drain is answered truthfully before the process ends', (t) => {
+	const system = new SimulatedSystem({
+		seed: 1,
+		entries: 2,
+		agents: 1,
+		slots: 2,
+		oneWayMs: 1,
+		jitterMs: 1,
+		runMs: () => 60_000,
+	});
+	system.after(2000, () => {
+		for (const entry of [0, 1]) {
+			const begun = submissionOf(`begun-${entry}`, 1, { isKeyed: false, remainingMs: 50_000 });
+			system.submit(entry, begun);
+		}
+	});
+	system.after(2500, () => {
+		for (const entry of [0, 1]) {
+			const queued = submissionOf(`queued-${entry}`, 1, { isKeyed: false, remainingMs: 50_000 });
+			system.submit(entry, queued);
+		}
+	});
+	for (const entry of [0, 1]) {
+		system.after(3000, () => {
+			system.entries[entry]!.isDraining = false;
+			system.drainEntry(entry, 1000);
+		});
+	}
+	system.runUntil(4300);
+	t.is(system.answers.length, 4);
+	for (const { submission, answer } of system.answers) {
+		const hasRun = system.startsBySubmission.has(submission.submissionId);
+		t.false(answer.status === 'complete' || (answer.status === 'notRun' && hasRun));
+		t.regex('message' in answer ? answer.message : '', /stopping/);
+	}
+	const begun = system.answers.filter(({ submission }) => submission.submissionId.startsWith('begun'));
+	t.true(begun.every(({ answer }) => answer.status === 'failed' && answer.outcome === 'mayHaveRun'));
+});
--- a/src/entry/test/simulatedSystem.ts
+++ b/src/entry/test/simulatedSystem.ts
@@ -202,7 +202,7 @@
 	}
 
 	/** Drains an entry and ends it once its jobs are answered; a new run follows. */
-	drainEntry(index = this.random.integer(0, this.entries.length - 1)): void {
+	drainEntry(index = this.random.integer(0, this.entries.length - 1), answerWithinMs = Infinity): void {
 		const entry = this.entries[index];
 		if (
 			entry?.isAlive !== true ||
@@ -212,7 +212,7 @@
 			return;
 		}
 		entry.isDraining = true;
-		this._push(entry, { kind: 'drain' });
+		this._push(entry, { kind: 'drain', answerWithinMs });
 		this._endOnceIdle(entry);
 	}
 
--- a/src/keeper/common/keeperCommands.ts
+++ b/src/keeper/common/keeperCommands.ts
@@ -1,6 +1,7 @@
 /** Commands of the keepers' replicated log, their results, and the codec of both. */
 
 import { Encoder } from 'cbor-x';
+import type { DrainSettings } from '../../declarations/common/drainRule.js';
 import type { ClaimOutcome, ClaimRequest, EntryMember } from '../../protocol/common/keeperMessages.js';
 import type { ChangeRequest, ChangeResult } from '../../protocol/common/operatorApi.js';
 
@@ -16,6 +17,8 @@
 	readonly request: ChangeRequest;
 	/** Wall-clock time of the keeper that took the request; kept for people only. */
 	readonly acceptedAt: string;
+	/** The shortest drain among the processes that the keeper knew then; absent when it knew none. */
+	readonly shortestDrain?: DrainSettings | undefined;
 }
 
 /** Claims and releases that one keeper gathered. Claims come first: a release answers an earlier claim. */
--- a/src/keeper/common/keeperSettings.ts
+++ b/src/keeper/common/keeperSettings.ts
@@ -9,28 +9,35 @@
 } from '../../platform/settings/common/settingsSchema.js';
 
 /** Schema of a keeper's settings file. */
-export const keeperSettingsSchema = z.strictObject({
-	...processSettingsShape,
-	peerAddress: addressSchema.describe('Address that keepers, entries and agents connect to.'),
-	operatorAddress: addressSchema.describe("Address of the operators' HTTP interface."),
-	operatorToken: z.string().min(16).describe('Token that operators send; at least 16 characters.'),
-	dataFolder: z.string().min(1).describe('Folder of all durable files.'),
-	members: z
-		.array(keeperEndpointSchema)
-		.min(1)
-		.max(5)
-		.describe('The group at its first start, this keeper included; later changes go through the log.'),
-	claimRetentionMs: durationMsSchema
-		.default(86_400_000)
-		.describe('Time for which a claim of a not-repeatable submission is kept.'),
-	memberLeaseMs: durationMsSchema
-		.default(1500)
-		.describe('Time after its last status for which a subscriber counts as live.'),
-	electionTimeoutMs: durationMsSchema
-		.default(300)
-		.describe('Least silence of a leader before a follower stands.'),
-	heartbeatIntervalMs: durationMsSchema.default(75).describe("Time between a leader's heartbeats."),
-});
+export const keeperSettingsSchema = z
+	.strictObject({
+		...processSettingsShape,
+		peerAddress: addressSchema.describe('Address that keepers, entries and agents connect to.'),
+		operatorAddress: addressSchema.describe("Address of the operators' HTTP interface."),
+		operatorToken: z.string().min(16).describe('Token that operators send; at least 16 characters.'),
+		dataFolder: z.string().min(1).describe('Folder of all durable files.'),
+		members: z
+			.array(keeperEndpointSchema)
+			.min(1)
+			.max(5)
+			.describe('The group at its first start, this keeper included; later changes go through the log.'),
+		claimRetentionMs: durationMsSchema
+			.default(86_400_000)
+			.describe('Time for which a claim of a not-repeatable submission is kept.'),
+		memberLeaseMs: durationMsSchema
+			.default(1500)
+			.describe('Time after its last status for which a subscriber counts as live.'),
+		electionTimeoutMs: durationMsSchema
+			.default(300)
+			.describe('Least silence of a leader before a follower stands.'),
+		heartbeatIntervalMs: durationMsSchema.default(75).describe("Time between a leader's heartbeats."),
+	})
+	.refine(({ heartbeatIntervalMs, electionTimeoutMs }) => 2 * heartbeatIntervalMs <= electionTimeoutMs, {
+		path: ['heartbeatIntervalMs'],
+		error:
+			'It must be at most half of electionTimeoutMs, or one late heartbeat ends the lead. ' +
+			'Lower heartbeatIntervalMs or raise electionTimeoutMs.',
+	});
 
 /** Settings of a keeper. */
 export type KeeperSettings = z.output<typeof keeperSettingsSchema>;
--- a/src/keeper/common/keeperStateMachine.ts
+++ b/src/keeper/common/keeperStateMachine.ts
@@ -68,7 +68,9 @@
 	execute(command: KeeperCommand): KeeperCommandResults[KeeperCommand['kind']] {
 		return match(command)
 			.with({ kind: 'beginHistory' }, ({ historyId }) => this._beginHistory(historyId))
-			.with({ kind: 'changeTables' }, ({ request, acceptedAt }) => this._tables.change(request, acceptedAt))
+			.with({ kind: 'changeTables' }, ({ request, acceptedAt, shortestDrain }) =>
+				this._tables.change(request, acceptedAt, shortestDrain),
+			)
 			.with({ kind: 'recordClaims' }, (claims) => this._recordClaims(claims))
 			.with({ kind: 'setDirectory' }, (change) => this._setDirectory(change))
 			.with({ kind: 'advanceTime' }, (step) => this._advanceTime(step))
--- a/src/keeper/common/memberRegistry.ts
+++ b/src/keeper/common/memberRegistry.ts
@@ -5,6 +5,7 @@
 	MemberReportsMessage,
 	MemberStatus,
 } from '../../protocol/common/keeperMessages.js';
+import type { DrainSettings } from '../../declarations/common/drainRule.js';
 import type { ProcessRole } from '../../platform/transport/common/transport.js';
 
 /** One process, as one keeper knows it. Times are by this process's monotonic clock. */
@@ -90,6 +91,21 @@
 			.sort((a, b) => (a.processId < b.processId ? -1 : 1));
 	}
 
+	/** The shortest drain among the processes that are known and have not left. */
+	shortestDrain(): DrainSettings | undefined {
+		let shortest: DrainSettings | undefined;
+		for (const records of this._records.values()) {
+			for (const { processId, hasLeft, status } of records.values()) {
+				const { drainTimeoutMs } = status;
+				const isShorter = (drainTimeoutMs ?? Infinity) < (shortest?.drainTimeoutMs ?? Infinity);
+				if (!hasLeft && drainTimeoutMs !== undefined && isShorter) {
+					shortest = { place: processId, drainTimeoutMs };
+				}
+			}
+		}
+		return shortest;
+	}
+
 	private _recordsOf(keeperId: string): Map<string, MemberRecord> {
 		const present = this._records.get(keeperId);
 		if (present !== undefined) {
--- a/src/keeper/common/tableStore.ts
+++ b/src/keeper/common/tableStore.ts
@@ -7,7 +7,13 @@
 	editedName,
 	findTableFaults,
 } from '../../declarations/common/tableEdits.js';
-import { emptyTables, type TableDelta, type Tables } from '../../declarations/common/tables.js';
+import { findShortDrains, type DrainSettings, type ShortDrain } from '../../declarations/common/drainRule.js';
+import {
+	emptyTables,
+	type TableDelta,
+	type TableEdit,
+	type Tables,
+} from '../../declarations/common/tables.js';
 import type {
 	AcceptedChange,
 	ChangeRequest,
@@ -63,8 +69,12 @@
 		return this._history;
 	}
 
-	/** Decides a change. A request id that was decided before gets its first result. */
-	change(request: ChangeRequest, acceptedAt: string): ChangeResult {
+	/**
+	 * Decides a change. A request id that was decided before gets its first result.
+	 *
+	 * @param shortestDrain of the processes that are known; a changed route whose jobs may outlast it is refused
+	 */
+	change(request: ChangeRequest, acceptedAt: string, shortestDrain?: DrainSettings): ChangeResult {
 		const digest = hash64Hex(JSON.stringify([request.expectedRevision, request.author, request.edits]));
 		const first = this._requests.get(request.requestId);
 		if (first !== undefined) {
@@ -72,7 +82,7 @@
 				? first.result
 				: { outcome: 'requestIdReused', presentRevision: this._tables.revision };
 		}
-		const result = this._decide(request, acceptedAt);
+		const result = this._decide(request, acceptedAt, shortestDrain);
 		this._remember({ requestId: request.requestId, digest, result });
 		return result;
 	}
@@ -105,7 +115,11 @@
 		}
 	}
 
-	private _decide(request: ChangeRequest, acceptedAt: string): ChangeResult {
+	private _decide(
+		request: ChangeRequest,
+		acceptedAt: string,
+		shortestDrain: DrainSettings | undefined,
+	): ChangeResult {
 		const presentRevision = this._tables.revision;
 		if (request.expectedRevision !== presentRevision) {
 			return {
@@ -115,7 +129,7 @@
 			};
 		}
 		const next = applyEdits(this._tables, request.edits);
-		const faults = findTableFaults(next);
+		const faults = [...findTableFaults(next), ...findDrainFaults(request.edits, shortestDrain)];
 		if (faults.length > 0) {
 			return { outcome: 'refused', presentRevision, faults: faults.map((fault) => fault.message) };
 		}
@@ -152,3 +166,17 @@
 		}
 	}
 }
+
+/** Only rows that the change puts count: a drain of a process must not fail for an older contradiction. */
+function findDrainFaults(
+	edits: readonly TableEdit[],
+	shortestDrain: DrainSettings | undefined,
+): readonly ShortDrain[] {
+	if (shortestDrain === undefined) {
+		return [];
+	}
+	const routes = edits.flatMap((edit) =>
+		edit.action === 'put' && edit.table === 'routes' ? [edit.row] : [],
+	);
+	return findShortDrains([shortestDrain], routes);
+}
--- a/src/keeper/common/test/keeperState.test.ts
+++ b/src/keeper/common/test/keeperState.test.ts
@@ -276,3 +276,17 @@
 	t.is(store.claim(claimOf('s2'), 0), 'unknown');
 	t.is(store.claim(claimOf('s1'), 0), 'granted');
 });
+
+test('a route whose jobs may outlast a known drain is refused, and other changes are not', (t) => {
+	const store = new TableStore();
+	const shortDrain = { place: 'entry-2', drainTimeoutMs: 3000 };
+	const acceptedAt = '2026-01-01T00:00:00Z';
+	const asked = request('r1', 0, putPool, putRoute);
+	const refused = store.change(asked, acceptedAt, shortDrain);
+	t.is(refused.outcome, 'refused');
+	t.regex(JSON.stringify(refused), /maxDeadlineMs = 2000.*entry-2.*drainTimeoutMs = 3000/);
+	t.is(store.change(request('r2', 0, putPool, putRoute), acceptedAt).outcome, 'accepted');
+	t.is(store.change(request('r3', 1, drain('agent-1')), acceptedAt, shortDrain).outcome, 'accepted');
+	const resent = store.change(request('r2', 0, putPool, putRoute), acceptedAt, shortDrain);
+	t.deepEqual(resent, { outcome: 'accepted', revision: 1 }, 'A resend gets its first result.');
+});
--- a/src/keeper/node/keeperDaemon.ts
+++ b/src/keeper/node/keeperDaemon.ts
@@ -301,6 +301,7 @@
 			machine: this._machine,
 			events,
 			status: () => this.status(),
+			shortestDrain: () => this._registry.shortestDrain(),
 			boundedAgeMs: () => this._boundedAgeMs(),
 		});
 		this._operators = this._register(operators);
--- a/src/keeper/node/operatorServer.ts
+++ b/src/keeper/node/operatorServer.ts
@@ -8,6 +8,7 @@
 import { match } from 'ts-pattern';
 import { describeError } from '../../base/common/errors.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
+import type { DrainSettings } from '../../declarations/common/drainRule.js';
 import type { ILogService } from '../../platform/log/common/log.js';
 import { createTokenCheck } from '../../platform/http/node/operatorToken.js';
 import { formatAddress, parseAddress } from '../../platform/transport/node/address.js';
@@ -23,7 +24,7 @@
 } from '../../protocol/common/operatorApi.js';
 import type { IReplicatedLog, MemberChange } from '../../replication/common/replicatedLog.js';
 import { changeRequestSchema, describeIssues, memberRequestSchema } from '../common/changeRequestSchema.js';
-import { decodeValue, encodeValue } from '../common/keeperCommands.js';
+import { decodeValue, encodeValue, type ChangeTablesCommand } from '../common/keeperCommands.js';
 import type { KeeperStateMachine } from '../common/keeperStateMachine.js';
 
 /** Largest body of a change: 5,000 edits of some 500 bytes. */
@@ -42,6 +43,8 @@
 	readonly machine: KeeperStateMachine;
 	readonly events: ILogService;
 	readonly status: () => SystemStatus;
+	/** The shortest drain among the processes that this keeper knows. */
+	readonly shortestDrain: () => DrainSettings | undefined;
 	/** Greatest possible age of this keeper's state, absent when it can't be bounded. */
 	readonly boundedAgeMs: () => number | undefined;
 }
@@ -133,7 +136,12 @@
 	if (!parsed.success) {
 		return sendError(context, 400, { error: 'badRequest', message: describeIssues(parsed.error) });
 	}
-	const command = { kind: 'changeTables', request: parsed.data, acceptedAt: new Date().toISOString() };
+	const command: ChangeTablesCommand = {
+		kind: 'changeTables',
+		request: parsed.data,
+		acceptedAt: new Date().toISOString(),
+		shortestDrain: services.shortestDrain(),
+	};
 	const answer = await services.log.propose(encodeValue(command), proposeTimeoutMs);
 	if (answer.isErr()) {
 		const { errorKind, message } = answer.error;
--- a/src/protocol/common/keeperMessageSchemas.ts
+++ b/src/protocol/common/keeperMessageSchemas.ts
@@ -52,6 +52,7 @@
 	rack: textSchema,
 	isDraining: z.boolean(),
 	revisionInForce: countSchema,
+	drainTimeoutMs: countSchema.optional(),
 	offer: offerSchema.optional(),
 });
 
--- a/src/protocol/common/keeperMessages.ts
+++ b/src/protocol/common/keeperMessages.ts
@@ -32,6 +32,8 @@
 	readonly isDraining: boolean;
 	/** Revision of the tables that the process has in force. */
 	readonly revisionInForce: number;
+	/** Time that a drain of the process may take; absent for keepers, whose drain waits for no job. */
+	readonly drainTimeoutMs?: number | undefined;
 	/** What the agent's upstream announced; absent for entries. */
 	readonly offer?: UpstreamOffer | undefined;
 }
