Count the queue rightly when a job is refused or returns out of line

Cause: a job began its life in the phase 'placing', though nothing had put it in line. A refusal at admission (deadline too short, queue full, quota) then took its tasks off the pool's count of queued tasks, which went below what waited, also below 0. While it is not above 0 nothing is placed, so jobs waited until their deadline although slots were free. A task that came back while its job was being handed over was counted twice, the other way round.

Ruled out: recounting each tick, which costs with the length of the queue. Change: a job begins as 'arriving'; a returned task counts only while its job is in line.

--- a/src/entry/common/jobRow.ts
+++ b/src/entry/common/jobRow.ts
@@ -23,6 +23,8 @@
 
 /** Where a job stands. */
 export type JobPhase =
+	/** Has just come, and isn't in line anywhere. */
+	| 'arriving'
 	/** Waits until a new home knows its workers and what the earlier home goes on with. */
 	| 'settling'
 	/** Waits for a connection to the pool's home. */
@@ -59,7 +61,7 @@
 
 /** One job. */
 export class JobRow {
-	phase: JobPhase = 'placing';
+	phase: JobPhase = 'arriving';
 	readonly readers: LocalReader[] = [];
 	/** Entries that relayed the job here, by process id. */
 	readonly relayers = new Set<string>();
--- a/src/entry/common/poolState.ts
+++ b/src/entry/common/poolState.ts
@@ -95,8 +95,11 @@
 		this.queuedTasks += job.queuedCount;
 	}
 
-	/** Puts one task of a job that was in line back in line. */
+	/** Puts one task of a job back in line; a job that isn't in line now takes it along when it comes again. */
 	requeue(job: JobRow): void {
+		if (job.phase !== 'placing') {
+			return;
+		}
 		this.queuedTasks += 1;
 		this.teams.get(job.submission.team)?.push(job);
 	}
--- a/src/entry/test/decisions.test.ts
+++ b/src/entry/test/decisions.test.ts
@@ -185,3 +185,16 @@
 	const reasons = bench.answers.flatMap(({ answer }) => (answer.status === 'notRun' ? [answer.reason] : []));
 	t.deepEqual(reasons, ['staleTables', 'neverFits', 'deadlineTooShort']);
 });
+
+test('a refused job leaves no gap in the count of the queue: what waits is placed', (t) => {
+	const bench = new Bench(1, 1);
+	bench.submit(submissionOf('first', 1));
+	bench.endAll(() => done);
+	bench.submit(submissionOf('long', 5));
+	bench.submit(submissionOf('late', 4, { remainingMs: 1000 }));
+	t.like(bench.answers.at(-1), { answer: { status: 'notRun', reason: 'deadlineTooShort' } });
+	for (let round = 0; round < 5; round += 1) {
+		bench.endAll(() => done);
+	}
+	t.like(bench.answers.at(-1), { answer: { status: 'complete' } });
+});
--- a/src/entry/test/promisesRun.ts
+++ b/src/entry/test/promisesRun.ts
@@ -102,6 +102,22 @@
 		.map(([id, [answer]]) => `${id}: told ${JSON.stringify(answer)}, but tasks have started`);
 }
 
+/** Looks all the time whether the count of each queue, by which an entry decides to place, is that of its jobs. */
+function watchQueues(system: SimulatedSystem, faults: Set<string>): void {
+	for (const { processId, core } of system.entries) {
+		for (const pool of core.tables.pools.values()) {
+			const jobs = [...core.tables.jobs.values()].filter((job) => job.phase === 'placing');
+			const waiting = jobs.reduce((sum, job) => sum + (job.pool === pool.name ? job.queuedCount : 0), 0);
+			if (waiting !== pool.queuedTasks) {
+				faults.add(`${processId} counts ${pool.queuedTasks} queued tasks where ${waiting} wait`);
+			}
+		}
+	}
+	system.after(100, () => {
+		watchQueues(system, faults);
+	});
+}
+
 /** Runs one seed and returns what it broke. */
 export function runSeed(seed: number): { faults: string[]; complete: number; answers: number } {
 	const random = new SeededRandom(seed);
@@ -120,9 +136,11 @@
 		submitJobs(system, random, entries);
 		injectFaults(system, random);
 	});
+	const miscounts = new Set<string>();
+	watchQueues(system, miscounts);
 	system.runUntil(runMs + 6000);
 	const doubled = doubleStarts(system);
 	const broken = [...partialAnswers(system.answers), ...untrueRefusals(system)];
 	const complete = system.answers.filter(({ answer }) => answer.status === 'complete').length;
-	return { faults: [...doubled, ...broken], complete, answers: system.answers.length };
+	return { faults: [...doubled, ...broken, ...miscounts], complete, answers: system.answers.length };
 }
