Feed the auditor with revisions that processes log, and prove five keepers and lost disks under load

Cause: the counter of reverted changes saw no real process, late starts only those of one test, and nothing compared what operators were told with the keepers' history. Two faults at once on five keepers, and lost disks together with load, had no test with processes.

Change: each keeper, entry and agent logs 'tables.inForce' for each revision that it works with; the auditor checks every run of every process at each such event and at the time by which each accepted change must be in force, apart from times in which a named fault keeps it away. Operators race with equal revisions and resend; a new counter, lostChanges, compares their results with the history.

Ruled out: sampling the keepers' status for revisions. A keeper that was frozen stamps old renewals as heard now, so a process that moved meanwhile would look as if it had gone back.

--- a/src/agent/node/agentDaemon.ts
+++ b/src/agent/node/agentDaemon.ts
@@ -261,6 +261,10 @@
 		if (published === this._publishedStatus) {
 			return;
 		}
+		const previousRevision = this._publishedStatus?.revision ?? 0;
+		if (published.revision !== previousRevision) {
+			this._services.log.info('tables.inForce', { revision: published.revision, previousRevision });
+		}
 		this._publishedStatus = published;
 		this._services.controlPlane.setStatus({
 			dataCentre: options.dataCentre,
--- a/src/code/node/commands/soakCommand.ts
+++ b/src/code/node/commands/soakCommand.ts
@@ -16,12 +16,14 @@
 		seconds: { type: 'string', default: '60', description: 'Time for which faults are injected.' },
 		seed: { type: 'string', default: '1', description: 'Seed of the faults and the readers.' },
 		jobsPerSecond: { type: 'string', default: '60', description: 'Jobs a second over all entries.' },
+		keepers: { type: 'string', default: '3', description: 'Keepers: 1, 3 or 5.' },
 	},
 	run: async ({ args }) => {
 		const report = await runSoak({
 			seconds: toCount('seconds', args.seconds),
 			seed: toCount('seed', args.seed),
 			jobsPerSecond: toCount('jobsPerSecond', args.jobsPerSecond),
+			keepers: toCount('keepers', args.keepers),
 		});
 		process.stdout.write(`${JSON.stringify(report)}\n`);
 		const isFlawless = report.audit.breaches.length === 0 && report.failures.length === 0;
--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -57,6 +57,7 @@
 	private readonly _loop: TickLoop;
 	private readonly _outcomes: OutcomeBook;
 	private _isDraining = false;
+	private _loggedRevision = 0;
 	/** Kept, because a server that is closing has no address any more. */
 	private readonly _httpAddress: string;
 
@@ -238,6 +239,7 @@
 	}
 
 	private _perform(outputs: EntryOutputs): void {
+		this._logRevision();
 		this._hub.send(outputs.frames);
 		this._api.answer(outputs.answers);
 		for (const claim of outputs.claims) {
@@ -251,6 +253,15 @@
 		}
 	}
 
+	/** One event for each revision that the core works with, so that a run's revisions can be followed in its log. */
+	private _logRevision(): void {
+		const { revision } = this._core.tables;
+		if (revision !== this._loggedRevision) {
+			this._options.log.info('tables.inForce', { revision, previousRevision: this._loggedRevision });
+			this._loggedRevision = revision;
+		}
+	}
+
 	private _claim(claim: ClaimRequest): void {
 		void this._control.claim(claim, claimTimeoutMs).then((outcome) => {
 			this._loop.push({ kind: 'claimAnswered', claim, outcome });
--- a/src/keeper/node/keeperDaemon.ts
+++ b/src/keeper/node/keeperDaemon.ts
@@ -82,7 +82,7 @@
 		this._clock = clock;
 		this._startedAtMs = clock.nowMs();
 		this._startedEmpty = _machine.historyId === '';
-		this._ownStatus = createOwnStatus(settings, _machine.tables.tables.revision);
+		this._ownStatus = createOwnStatus(settings);
 		this._register(_listener);
 		this._register(_log);
 		this._claims = this._register(new ClaimBatcher(_log, events));
@@ -268,7 +268,9 @@
 	/** A keeper counts among the processes that must have a revision in force. */
 	private _putOwnRecord(): void {
 		const revision = this._machine.tables.tables.revision;
-		if (this._ownStatus.revisionInForce !== revision) {
+		const previousRevision = this._ownStatus.revisionInForce;
+		if (previousRevision !== revision) {
+			this._options.events.info('tables.inForce', { revision, previousRevision });
 			this._ownStatus = { ...this._ownStatus, revisionInForce: revision };
 		}
 		const { processId, incarnation } = this._options.identity;
@@ -307,7 +309,7 @@
 	}
 }
 
-function createOwnStatus(settings: KeeperSettings, revisionInForce: number): MemberStatus {
-	const { dataCentre, rack } = settings;
-	return { dataCentre, rack, isDraining: false, revisionInForce };
+/** The status before the state on the disk has been looked at. */
+function createOwnStatus({ dataCentre, rack }: KeeperSettings): MemberStatus {
+	return { dataCentre, rack, isDraining: false, revisionInForce: 0 };
 }
--- a/src/proof/common/auditRecords.ts
+++ b/src/proof/common/auditRecords.ts
@@ -6,6 +6,8 @@
  * clock, which every process of a local system shares.
  */
 
+import type { KeptChange, OperatorRecord } from './operatorRecords.js';
+
 /** One start that an upstream saw. */
 export interface StartRecord {
 	readonly upstream: string;
@@ -63,6 +65,8 @@
 	readonly incarnation: string;
 	readonly revision: number;
 	readonly atMs: number;
+	/** False when changes may have been kept from the process by a fault; true when left out. */
+	readonly isDue?: boolean;
 }
 
 /** A change that the keepers accepted. */
@@ -79,6 +83,11 @@
 	readonly leavings?: readonly Leaving[];
 	readonly observations?: readonly RevisionObservation[];
 	readonly changes?: readonly AcceptedChange[];
+	/** What operators were told, and the history that the keepers had in the end. */
+	readonly operators?: {
+		readonly records: readonly OperatorRecord[];
+		readonly history: readonly KeptChange[];
+	};
 }
 
 /** Promises of the system that an audit counts breaches of. */
@@ -90,6 +99,7 @@
 	'cutRequests',
 	'lateStarts',
 	'revertedChanges',
+	'lostChanges',
 ] as const;
 
 /** Name of a counter of broken promises. */
@@ -102,6 +112,16 @@
 	readonly description: string;
 }
 
+/** How much an audit saw of what some counters need. */
+export interface AuditCoverage {
+	readonly leavings: number;
+	/** Starts on upstreams that were leaving, early or late. */
+	readonly startsAfterLeaving: number;
+	readonly observations: number;
+	readonly changes: number;
+	readonly operatorRequests: number;
+}
+
 /** What an audit found. */
 export interface AuditReport {
 	/** Breaches of each promise; all 0 when the promises were kept. */
@@ -112,6 +132,8 @@
 	/** Failed and refused attempts by their reason. */
 	readonly reasons: Readonly<Record<string, number>>;
 	readonly starts: number;
+	/** What the counters were fed with; a counter that saw nothing proves nothing. */
+	readonly seen: AuditCoverage;
 	/**
 	 * Attempts answered `notRun` although another attempt with the same key had started the job before. No breach,
 	 * since the answer speaks of its own attempt; a figure to watch, since a reader may misread it.
--- a/src/proof/common/auditor.ts
+++ b/src/proof/common/auditor.ts
@@ -1,6 +1,7 @@
 /** Compares what upstreams ran with what readers were told, and counts broken promises. */
 
 import type {
+	AuditCoverage,
 	AuditInput,
 	AuditReport,
 	Breach,
@@ -11,6 +12,7 @@
 	RevisionObservation,
 	StartRecord,
 } from './auditRecords.js';
+import { findLostChanges } from './operatorRecords.js';
 
 /** Time after its leaving within which an upstream may still get starts. */
 export const leavingGraceMs = 2000;
@@ -35,6 +37,7 @@
 		...findCutRequests(input),
 		...findLateStarts(input.starts, input.leavings ?? []),
 		...findRevertedChanges(input),
+		...describeLostChanges(input),
 	];
 	return {
 		counts: countBreaches(breaches),
@@ -42,6 +45,7 @@
 		outcomes: countOutcomes(input.readers),
 		reasons: countReasons(input.readers),
 		starts: input.starts.length,
+		seen: measureCoverage(input),
 		refusalsBesideOtherAttempt: countRefusalsBesideOtherAttempt(input.readers, startsByToken),
 	};
 }
@@ -167,7 +171,7 @@
 		const run = `${observation.processId}/${observation.incarnation}`;
 		const highest = highestByRun.get(run) ?? 0;
 		highestByRun.set(run, Math.max(highest, observation.revision));
-		const due = dueRevision(observation, input);
+		const due = observation.isDue === false ? 0 : dueRevision(observation, input);
 		if (observation.revision < highest || observation.revision < due) {
 			breaches.push(
 				breach(
@@ -180,6 +184,29 @@
 	return breaches;
 }
 
+function describeLostChanges({ operators }: AuditInput): Breach[] {
+	const sentences = operators === undefined ? [] : findLostChanges(operators.records, operators.history);
+	return sentences.map((sentence) => breach('lostChanges', sentence));
+}
+
+function measureCoverage(input: AuditInput): AuditCoverage {
+	const leavings = input.leavings ?? [];
+	const isLeaving = (start: StartRecord): boolean =>
+		leavings.some(
+			(leaving) =>
+				leaving.upstream === start.upstream &&
+				leaving.leftAtMs < start.atMs &&
+				start.atMs < (leaving.returnedAtMs ?? Infinity),
+		);
+	return {
+		leavings: leavings.length,
+		startsAfterLeaving: input.starts.filter(isLeaving).length,
+		observations: input.observations?.length ?? 0,
+		changes: input.changes?.length ?? 0,
+		operatorRequests: input.operators?.records.length ?? 0,
+	};
+}
+
 /** The newest revision that was accepted so long ago that every process must have it in force. */
 function dueRevision(observation: RevisionObservation, input: AuditInput): number {
 	const due = (input.changes ?? []).filter(
@@ -226,6 +253,7 @@
 		cutRequests: 0,
 		lateStarts: 0,
 		revertedChanges: 0,
+		lostChanges: 0,
 	};
 	for (const { promise } of breaches) {
 		counts[promise] += 1;
--- a/src/proof/common/soakPlan.ts
+++ b/src/proof/common/soakPlan.ts
@@ -11,6 +11,7 @@
 	'freezeEntry',
 	'freezeAgent',
 	'freezeKeeper',
+	'loseKeeperDisk',
 	'cutAgentToEntry',
 	'cutEntryToAgent',
 	'cutEntryToKeeper',
@@ -21,6 +22,7 @@
 	'drainEntry',
 	'drainUpstream',
 	'drainAgent',
+	'drainAgentByOperator',
 ] as const;
 
 /** Kind of a fault. */
--- /dev/null
+++ b/src/proof/common/test/revisionObservations.test.ts
@@ -0,0 +1,48 @@
+import test from 'ava';
+import { audit } from '../auditor.js';
+import { observeRuns, type ObservedRun, type StaleTime } from '../revisionObservations.js';
+
+const changes = [{ revision: 5, acceptedAtMs: 10_000 }];
+
+function run(revisions: ObservedRun['revisions'], part: Partial<ObservedRun> = {}): ObservedRun {
+	return {
+		processId: 'agent-1',
+		incarnation: 'i1',
+		readyAtMs: 0,
+		endedAtMs: 60_000,
+		revisions,
+		...part,
+	};
+}
+
+function reverted(observed: ObservedRun, staleTimes: readonly StaleTime[] = []): number {
+	const observations = observeRuns([observed], changes, staleTimes);
+	return audit({ starts: [], readers: [], changes, observations }).counts.revertedChanges;
+}
+
+test('a run that follows each change within the limit has no breach', (t) => {
+	t.is(reverted(run([{ revision: 5, atMs: 13_000 }])), 0);
+	t.is(reverted(run([{ revision: 4, atMs: 500 }])), 1);
+	t.is(reverted(run([{ revision: 5, atMs: 13_002 }])), 1, 'too late');
+});
+
+test('a run that works with an older revision again is seen, also when nothing is due', (t) => {
+	const revisions = [
+		{ revision: 7, atMs: 1000 },
+		{ revision: 6, atMs: 1010 },
+		{ revision: 7, atMs: 1020 },
+	];
+	t.is(reverted(run(revisions)), 1);
+	t.is(reverted(run(revisions), [{ fromMs: 0, untilMs: 60_000 }]), 1, 'no fault excuses going back');
+});
+
+test('a process must have a change only when it ran, and could be reached, for the whole limit', (t) => {
+	const late = [{ revision: 5, atMs: 20_000 }];
+	t.is(reverted(run(late)), 1);
+	t.is(reverted(run(late, { readyAtMs: 10_500 })), 0);
+	t.is(reverted(run(late, { endedAtMs: 12_000 })), 0);
+	t.is(reverted(run(late), [{ processId: 'agent-1', fromMs: 9000, untilMs: 10_500 }]), 0);
+	t.is(reverted(run(late), [{ fromMs: 12_000, untilMs: Infinity }]), 0);
+	t.is(reverted(run(late), [{ processId: 'agent-2', fromMs: 9000, untilMs: 30_000 }]), 1);
+	t.is(reverted(run(late), [{ fromMs: 1000, untilMs: 9000 }]), 1);
+});
--- /dev/null
+++ b/src/proof/node/askKeeper.ts
@@ -0,0 +1,35 @@
+/** One request to the operators' interface of one keeper, without turning to another one. */
+
+import { request } from 'undici';
+import type { LocalKeeper } from './localDaemon.js';
+import { localOperatorToken } from './localSystem.js';
+
+/** An answer of a keeper's operators' interface. */
+export interface OperatorAnswer {
+	readonly status: number;
+	readonly body: unknown;
+}
+
+/** Longer than a keeper waits for a commit. */
+const defaultTimeoutMs = 4000;
+
+/**
+ * Asks one keeper: POST with a body, GET without one. Rejects when no answer comes in time.
+ *
+ * @example
+ * const { body } = await askKeeper(keeper, '/v1/status');
+ */
+export async function askKeeper(
+	keeper: LocalKeeper,
+	path: string,
+	body?: object,
+	timeoutMs = defaultTimeoutMs,
+): Promise<OperatorAnswer> {
+	const response = await request(`http://${keeper.operatorAddress}${path}`, {
+		method: body === undefined ? 'GET' : 'POST',
+		headers: { authorization: `Bearer ${localOperatorToken}`, 'content-type': 'application/json' },
+		signal: AbortSignal.timeout(timeoutMs),
+		...(body === undefined ? {} : { body: JSON.stringify(body) }),
+	});
+	return { status: response.statusCode, body: await response.body.json() };
+}
--- a/src/proof/node/localDaemon.ts
+++ b/src/proof/node/localDaemon.ts
@@ -17,8 +17,27 @@
 	readonly nodeArgs?: readonly string[];
 }
 
+/** A revision that a process said it works with from a time on. Times are of the wall clock. */
+export interface RevisionInForce {
+	readonly revision: number;
+	readonly atMs: number;
+}
+
+/** One run of a daemon, from its readiness to its end or the signal that ended it. */
+export interface DaemonRun {
+	/** Differs in each run. */
+	readonly incarnation: string;
+	readonly startedAtMs: number;
+	readonly readyAtMs: number;
+	endedAtMs: number;
+	/** In the order in which the process said so. */
+	readonly revisions: RevisionInForce[];
+}
+
 /** One daemon and, after it was killed, its successors. */
 export class LocalDaemon extends Disposable {
+	/** Runs that got ready, the oldest first. */
+	readonly runs: DaemonRun[] = [];
 	private _process: LocalProcess | undefined;
 	private _ready: LogLine | undefined;
 
@@ -56,21 +75,48 @@
 	async start(): Promise<void> {
 		const { name, role, args, nodeArgs } = this._options;
 		this._ready = undefined;
+		const startedAtMs = Date.now();
 		this._process = this._register(
 			LocalProcess.start({ name, args: [role, ...args], ...(nodeArgs === undefined ? {} : { nodeArgs }) }),
 		);
+		const revisions: RevisionInForce[] = [];
+		this._process.onDidLog((line) => {
+			if (line.event === 'tables.inForce') {
+				revisions.push({ revision: Number(line.revision), atMs: Date.parse(line.time) });
+			}
+		});
 		this._ready = await this._process.waitForReady();
+		const run: DaemonRun = {
+			incarnation: `${this.name}/${this._process.pid}`,
+			startedAtMs,
+			readyAtMs: Date.parse(this._ready.time),
+			endedAtMs: Infinity,
+			revisions,
+		};
+		this.runs.push(run);
+		void this._process.exited.then(() => {
+			run.endedAtMs = Math.min(run.endedAtMs, Date.now());
+		});
 	}
 
 	/** Kills the process without warning. */
 	async kill(): Promise<ExitStatus> {
+		this._endRun();
 		return this.process.kill();
 	}
 
 	/** Drains the process by SIGTERM. */
 	async stop(): Promise<ExitStatus> {
+		this._endRun();
 		return this.process.stop();
 	}
+
+	private _endRun(): void {
+		const run = this.runs.at(-1);
+		if (run !== undefined) {
+			run.endedAtMs = Math.min(run.endedAtMs, Date.now());
+		}
+	}
 }
 
 /** A keeper, its addresses and its data folder. */
--- a/src/proof/node/proofRun.ts
+++ b/src/proof/node/proofRun.ts
@@ -1,15 +1,13 @@
 /** One audited run of a local system: what was done to it, what its readers were told, and the judgement. */
 
 import { Disposable, toDisposable, type IDisposable } from '../../base/common/disposable.js';
+import type { TablesBody } from '../../protocol/common/operatorApi.js';
 import { audit } from '../common/auditor.js';
-import type {
-	AcceptedChange,
-	AuditReport,
-	EntryFault,
-	Leaving,
-	RevisionObservation,
-} from '../common/auditRecords.js';
+import type { AcceptedChange, AuditInput, AuditReport, EntryFault, Leaving } from '../common/auditRecords.js';
 import { startsOfJournals } from '../common/journalStarts.js';
+import type { KeptChange, OperatorRecord } from '../common/operatorRecords.js';
+import { observeRuns, type ObservedRun, type StaleTime } from '../common/revisionObservations.js';
+import { askKeeper } from './askKeeper.js';
 import { exampleFiles } from './exampleFiles.js';
 import { LocalSystem, type LocalSystemOptions } from './localSystem.js';
 import { ReaderClient } from './readerClient.js';
@@ -38,8 +36,9 @@
 	private readonly _entryFaults: EntryFault[] = [];
 	private readonly _openFaults = new Map<object, EntryFault>();
 	private readonly _leavings: Leaving[] = [];
-	private readonly _observations: RevisionObservation[] = [];
 	private readonly _changes: AcceptedChange[] = [];
+	private readonly _staleTimes: StaleTime[] = [];
+	private _operators: AuditInput['operators'];
 
 	private constructor(readonly system: LocalSystem) {
 		super();
@@ -50,6 +49,7 @@
 		const run = new ProofRun(await LocalSystem.start(options));
 		try {
 			await run.system.apply(Object.values(exampleFiles));
+			await run._notePresentRevision();
 			await run.system.waitUntilServing();
 			await Promise.all(run.system.entries.map((entry) => run.awaitWorkers(entry)));
 		} catch (error) {
@@ -59,6 +59,14 @@
 		return run;
 	}
 
+	private async _notePresentRevision(): Promise<void> {
+		const [keeper] = this.system.keepers;
+		if (keeper !== undefined) {
+			const { tables } = (await askKeeper(keeper, '/v1/tables')).body as TablesBody;
+			this.noteChange(tables.revision);
+		}
+	}
+
 	/** Waits until an entry completes a job of each pool that has an agent. */
 	async awaitWorkers(entry: LocalEntry): Promise<void> {
 		const pools = new Set(this.system.agents.map(({ pool }) => pool));
@@ -89,9 +97,9 @@
 		});
 	}
 
-	/** Tells the auditor that an upstream is leaving since a wall-clock time. */
-	noteLeaving(upstream: string, leftAtMs: number): void {
-		this._leavings.push({ upstream, leftAtMs });
+	/** Tells the auditor that an upstream is leaving since a wall-clock time, until it returned if it did. */
+	noteLeaving(upstream: string, leftAtMs: number, returnedAtMs?: number): void {
+		this._leavings.push({ upstream, leftAtMs, ...(returnedAtMs === undefined ? {} : { returnedAtMs }) });
 	}
 
 	/** Tells the auditor that the keepers have accepted a change. */
@@ -99,9 +107,25 @@
 		this._changes.push({ revision, acceptedAtMs: Date.now() });
 	}
 
-	/** Tells the auditor which revision a process has in force. */
-	noteRevision(observation: RevisionObservation): void {
-		this._observations.push(observation);
+	/** Tells the auditor all that operators were told, and what the keepers' history holds in the end. */
+	noteOperators(records: readonly OperatorRecord[], history: readonly KeptChange[]): void {
+		this._operators = { records, history };
+	}
+
+	/**
+	 * Excuses older tables, from now until the result is disposed: of a process that is frozen or cut off from the
+	 * keepers, or of all processes while the keepers have more than one fault.
+	 */
+	expectStaleTables(processId?: string): IDisposable {
+		const stale = {
+			...(processId === undefined ? {} : { processId }),
+			fromMs: Date.now(),
+			untilMs: Infinity,
+		};
+		this._staleTimes.push(stale);
+		return toDisposable(() => {
+			stale.untilMs = Math.min(stale.untilMs, Date.now());
+		});
 	}
 
 	/** Judges the run so far. */
@@ -111,11 +135,20 @@
 			readers: this.readers.records,
 			entryFaults: [...this._entryFaults, ...this._openFaults.values()],
 			leavings: this._leavings,
-			observations: this._observations,
+			observations: observeRuns(this._runs(), this._changes, this._staleTimes),
 			changes: this._changes,
+			...(this._operators === undefined ? {} : { operators: this._operators }),
 		});
 	}
 
+	private _runs(): ObservedRun[] {
+		const { keepers, entries, agents } = this.system;
+		const nowMs = Date.now();
+		return [...keepers, ...entries, ...agents].flatMap(({ name, runs }) =>
+			runs.map((run) => ({ ...run, processId: name, endedAtMs: Math.min(run.endedAtMs, nowMs) })),
+		);
+	}
+
 	/**
 	 * Drains what still runs, and judges the run.
 	 *
--- a/src/proof/node/soak.ts
+++ b/src/proof/node/soak.ts
@@ -4,6 +4,7 @@
 import { SeededRandom } from '../../base/common/random.js';
 import type { AuditReport } from '../common/auditRecords.js';
 import { drawFault, type SoakFault } from '../common/soakPlan.js';
+import { OperatorLoad } from './operatorLoad.js';
 import { ProofRun } from './proofRun.js';
 import { ReaderLoad } from './readerLoad.js';
 import { SoakFaults } from './soakFaults.js';
@@ -13,6 +14,8 @@
 	readonly seconds: number;
 	readonly seed: number;
 	readonly jobsPerSecond: number;
+	/** 1, 3 or 5. */
+	readonly keepers: number;
 }
 
 /** What a soak found. */
@@ -30,17 +33,22 @@
 /** Faults that are active at the same time. */
 const lanes = 2;
 
+/** Rounds of operators in one soak: fewer than the changes that a keeper's history keeps. */
+const operatorRounds = 500;
+
+const leastOperatorGapMs = 300;
+
 const recoveryTimeoutMs = 30_000;
 
 /**
  * Runs one soak.
  *
  * @example
- * const report = await runSoak({ seconds: 60, seed: 7, jobsPerSecond: 80 });
+ * const report = await runSoak({ seconds: 60, seed: 7, jobsPerSecond: 80, keepers: 5 });
  */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
 	const run = await ProofRun.start({
-		keepers: 3,
+		keepers: options.keepers,
 		entries: 3,
 		agents: ['ledger', 'ledger', 'ledger', 'response', 'response', 'response'].map((pool) => ({ pool })),
 		dataCentres: 3,
@@ -55,7 +63,9 @@
 
 async function soakSystem(run: ProofRun, options: SoakOptions): Promise<SoakReport> {
 	const { seed, seconds, jobsPerSecond } = options;
-	const faults = new SoakFaults(run);
+	const meanGapMs = Math.max(leastOperatorGapMs, (seconds * 1000) / operatorRounds);
+	const operators = new OperatorLoad(run, { seed, operators: 2, meanGapMs });
+	const faults = new SoakFaults(run, operators);
 	const load = new ReaderLoad(run.readers, {
 		seed,
 		jobsPerSecond,
@@ -81,6 +91,7 @@
 	);
 	const failures = await recover(run);
 	await load.stop();
+	await operators.stop();
 	failures.push(...faults.failures, ...(await drain(run)));
 	return { seed, seconds, jobs: load.jobCount, faults: counts, audit: run.audit(), failures };
 }
--- a/src/proof/test/keeperFixture.ts
+++ b/src/proof/test/keeperFixture.ts
@@ -1,8 +1,8 @@
 /** Keepers as real processes, with small subscribers on the real client inside the test's process. */
 
 import { randomUUID } from 'node:crypto';
-import { request } from 'undici';
 import { waitFor } from '../../base/common/async.js';
+import { toDisposable, type IDisposable } from '../../base/common/disposable.js';
 import { ControlPlaneClient } from '../../control/node/controlPlaneClient.js';
 import type { TableEdit, Tables } from '../../declarations/common/tables.js';
 import { nullLogService } from '../../platform/log/common/log.js';
@@ -14,8 +14,9 @@
 	SystemStatus,
 	TablesBody,
 } from '../../protocol/common/operatorApi.js';
+import { askKeeper, type OperatorAnswer } from '../node/askKeeper.js';
 import type { LocalKeeper } from '../node/localDaemon.js';
-import { LocalSystem, localOperatorToken, type LocalSystemOptions } from '../node/localSystem.js';
+import { LocalSystem, type LocalSystemOptions } from '../node/localSystem.js';
 
 /** Secret of every local system. */
 const sharedSecret = 'a-shared-secret-for-loopback';
@@ -87,12 +88,6 @@
 	}
 }
 
-/** An answer of a keeper's operators' interface. */
-export interface OperatorAnswer {
-	readonly status: number;
-	readonly body: unknown;
-}
-
 /** Starts keepers and subscribers, and ends them all. */
 export class KeeperFixture {
 	readonly subscribers: WatchedSubscriber[] = [];
@@ -122,14 +117,8 @@
 	}
 
 	/** Asks one keeper. Rejects when no answer comes. */
-	async ask(keeper: LocalKeeper, path: string, body?: object, timeoutMs = 4000): Promise<OperatorAnswer> {
-		const response = await request(`http://${keeper.operatorAddress}${path}`, {
-			method: body === undefined ? 'GET' : 'POST',
-			headers: { authorization: `Bearer ${localOperatorToken}`, 'content-type': 'application/json' },
-			signal: AbortSignal.timeout(timeoutMs),
-			...(body === undefined ? {} : { body: JSON.stringify(body) }),
-		});
-		return { status: response.statusCode, body: await response.body.json() };
+	ask(keeper: LocalKeeper, path: string, body?: object): Promise<OperatorAnswer> {
+		return askKeeper(keeper, path, body);
 	}
 
 	async status(keeper: LocalKeeper): Promise<SystemStatus> {
@@ -200,6 +189,18 @@
 		}
 	}
 
+	/** Cuts a keeper off from the other keepers, silently and in both directions; subscribers still reach it. */
+	isolate(keeper: LocalKeeper): IDisposable {
+		const cuts = this.keepers
+			.filter((other) => other !== keeper)
+			.flatMap((other) => [...cutBoth(keeper, other.name), ...cutBoth(other, keeper.name)]);
+		return toDisposable(() => {
+			for (const cut of cuts) {
+				cut.dispose();
+			}
+		});
+	}
+
 	/** Waits until a revision is in force in every subscriber given. */
 	async waitInForce(
 		revision: number,
@@ -224,6 +225,11 @@
 	}
 }
 
+/** Cuts what a client sends to a keeper and what it is answered, silently. */
+export function cutBoth(keeper: LocalKeeper, client: string): IDisposable[] {
+	return (['toServer', 'toClient'] as const).map((direction) => keeper.peerProxy!.cut(direction, { client }));
+}
+
 /** The shortest change there is: one drain, of a name that need not exist. */
 export function drainOf(name: string): TableEdit {
 	return { action: 'put', table: 'drains', row: { name } };
--- a/src/proof/test/keeperGroup.test.ts
+++ b/src/proof/test/keeperGroup.test.ts
@@ -5,6 +5,7 @@
 import { delay, waitFor } from '../../base/common/async.js';
 import type { LocalKeeper } from '../node/localDaemon.js';
 import {
+	cutBoth,
 	drainOf,
 	quantile,
 	withKeepers,
@@ -138,14 +139,9 @@
 	{
 		name: 'cut off from the other keepers, silently',
 		strike: (fixture, keeper) => {
-			const cuts = others(fixture, keeper).flatMap((other) => [
-				...cutBoth(keeper, other.name),
-				...cutBoth(other, keeper.name),
-			]);
+			const cut = fixture.isolate(keeper);
 			return Promise.resolve(() => {
-				for (const cut of cuts) {
-					cut.dispose();
-				}
+				cut.dispose();
 				return Promise.resolve();
 			});
 		},
@@ -167,10 +163,6 @@
 	},
 ];
 
-function cutBoth(keeper: LocalKeeper, client: string) {
-	return (['toServer', 'toClient'] as const).map((direction) => keeper.peerProxy!.cut(direction, { client }));
-}
-
 for (const fault of faults) {
 	for (const role of ['leader', 'follower'] as const) {
 		test.serial(`with the ${role} ${fault.name}, a change is in force everywhere within 3 s`, async (t) => {
--- /dev/null
+++ b/src/proof/test/lostDisks.test.ts
@@ -0,0 +1,50 @@
+/** Keepers lose their disks one after the other, under the load of readers and operators. */
+
+import test from 'ava';
+import { awaitRepair, loseDisk } from '../node/diskLoss.js';
+import type { ReaderJob } from '../node/readerClient.js';
+import { at, finishAudited, startCount, startLoaded, startOperators, threeKeepers } from './proofScenario.js';
+
+/** A job that must never run twice; its task is named like it. */
+function notRepeatable(name: string): ReaderJob {
+	return { route: 'provenance-clearance', team: 'estates', key: name, tasks: [{ token: name, runMs: 20 }] };
+}
+
+test.serial(
+	'the disks of two keepers are lost one after the other: changes and claims stay, no job runs again',
+	async (t) => {
+		const loaded = await startLoaded(t, 701, threeKeepers, { targets: () => run.system.entries });
+		const { run, answered } = loaded;
+		const { keepers, entries, agents } = run.system;
+		const operators = startOperators(t, loaded, 701);
+		const jobs = ['first', 'second'].map((name) => notRepeatable(`claimed-before-the-${name}-loss`));
+		for (const [index, job] of jobs.entries()) {
+			await answered(30);
+			t.is((await run.readers.submit(at(entries, index), job)).outcome.kind, 'complete');
+			const keeper = at(keepers, index);
+			const repaired = run.expectStaleTables(keeper.name);
+			await loseDisk(keeper);
+			await answered(40);
+			await keeper.start();
+			await awaitRepair(keeper, keepers.length);
+			repaired.dispose();
+		}
+		// Nothing but the claims is left of the two jobs once the memory of all entries and agents is gone.
+		const faults = entries.map((entry) => run.expectLostAnswers(entry));
+		await Promise.all([...entries, ...agents].map((process) => process.kill()));
+		await Promise.all([...entries, ...agents].map((process) => process.start()));
+		faults.forEach((fault) => {
+			fault.dispose();
+		});
+		await run.system.waitUntilServing();
+		await Promise.all(entries.map((entry) => run.awaitWorkers(entry)));
+		for (const job of jobs) {
+			const again = await run.readers.submitUntilTaken(at(entries, 2), job, performance.now() + 10_000);
+			t.is(again.outcome.kind, 'failed', again.message);
+			t.is(startCount(run, job.key!), 1);
+		}
+		await answered(40);
+		t.true(operators.acceptedCount > 0);
+		await finishAudited(t, loaded, operators);
+	},
+);
--- a/src/proof/test/proofScenario.ts
+++ b/src/proof/test/proofScenario.ts
@@ -6,6 +6,7 @@
 import { startsOfJournals } from '../common/journalStarts.js';
 import type { LocalAgent, LocalEntry } from '../node/localDaemon.js';
 import type { LocalSystemOptions } from '../node/localSystem.js';
+import { OperatorLoad } from '../node/operatorLoad.js';
 import { ProofRun } from '../node/proofRun.js';
 import { ReaderLoad, type ReaderLoadOptions } from '../node/readerLoad.js';
 
@@ -40,6 +41,15 @@
 	readonly answered: (jobs: number) => Promise<void>;
 }
 
+/** Starts operators who change tables against each other, until {@link finishAudited} or the test's end. */
+export function startOperators(t: ExecutionContext, { run }: LoadedRun, seed: number): OperatorLoad {
+	const operators = new OperatorLoad(run, { seed, operators: 2, meanGapMs: 250 });
+	t.teardown(() => {
+		operators.abandon();
+	});
+	return operators;
+}
+
 /** Starts a system and a load on every entry that runs. */
 export async function startLoaded(
 	t: ExecutionContext,
@@ -73,13 +83,19 @@
 }
 
 /** Ends the load, drains the system, and fails the test on any broken promise. */
-export async function finishAudited(t: ExecutionContext, { run, load }: LoadedRun): Promise<void> {
+export async function finishAudited(
+	t: ExecutionContext,
+	{ run, load }: LoadedRun,
+	operators?: OperatorLoad,
+): Promise<void> {
 	await load.stop();
+	await operators?.stop();
 	const report = await run.finish();
-	const { starts, outcomes, reasons } = report;
-	t.log(JSON.stringify({ jobs: load.jobCount, starts, outcomes, reasons }));
+	const { starts, outcomes, reasons, seen } = report;
+	t.log(JSON.stringify({ jobs: load.jobCount, starts, outcomes, reasons, seen }));
 	t.deepEqual(report.breaches, []);
 	t.true(report.outcomes.complete > 0);
+	t.true(report.seen.observations > 0);
 }
 
 /** The entry that places the jobs of a pool while every entry is live. */
