--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -1,5 +1,6 @@
 /** An entry as a process: sockets and timers around the core. */
 
+import { drainMarginMs } from '../../declarations/common/drainRule.js';
 import { randomUUID } from 'node:crypto';
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -57,6 +58,7 @@
 	private readonly _loop: TickLoop;
 	private readonly _outcomes: OutcomeBook;
 	private _isDraining = false;
+	private _loggedRevision = 0;
 	/** Kept, because a server that is closing has no address any more. */
 	private readonly _httpAddress: string;
 
@@ -172,7 +174,10 @@
 	async drain(): Promise<void> {
 		this._isDraining = true;
 		this._publishStatus();
-		this._loop.push({ kind: 'drain' });
+		this._loop.push({
+			kind: 'drain',
+			answerWithinMs: Math.max(0, this._options.settings.drainTimeoutMs - drainMarginMs),
+		});
 		const untilMs = performance.now() + drainNoticeMs;
 		const { jobs } = this._core.tables;
 		const handOverUntilMs = performance.now() + handOverTimeoutMs;
@@ -233,11 +238,13 @@
 			rack: settings.rack,
 			isDraining: this._isDraining || isDrained,
 			revisionInForce: tables.revision,
+			drainTimeoutMs: settings.drainTimeoutMs,
 		};
 		this._control.setStatus(status);
 	}
 
 	private _perform(outputs: EntryOutputs): void {
+		this._logRevision();
 		this._hub.send(outputs.frames);
 		this._api.answer(outputs.answers);
 		for (const claim of outputs.claims) {
@@ -251,6 +258,15 @@
 		}
 	}
 
+	/** One event for each revision that the core works with, so that a run's revisions can be followed in its log. */
+	private _logRevision(): void {
+		const { revision } = this._core.tables;
+		if (revision !== this._loggedRevision) {
+			this._options.log.info('tables.inForce', { revision, previousRevision: this._loggedRevision });
+			this._loggedRevision = revision;
+		}
+	}
+
 	private _claim(claim: ClaimRequest): void {
 		void this._control.claim(claim, claimTimeoutMs).then((outcome) => {
 			this._loop.push({ kind: 'claimAnswered', claim, outcome });
