--- a/src/bench/common/benchReport.ts
+++ b/src/bench/common/benchReport.ts
@@ -1,6 +1,7 @@
 /** What a run of the bench reports: one JSON object. */
 
 import type { DeploymentName } from './deployment.js';
+import type { ScenarioEvidence } from './scenarioEvidence.js';
 import type { ScenarioName } from './workload.js';
 
 /** Percentiles of a measure. */
@@ -31,8 +32,8 @@
 	readonly seed: number;
 	/** Time over which jobs arrive. */
 	readonly durationMs: number;
-	/** Whether jobs have idempotency keys. */
-	readonly isKeyed: boolean;
+	/** Share of the jobs, from 0 to 1, that have an idempotency key. */
+	readonly keyedShare: number;
 }
 
 /** Result of one run. */
@@ -54,6 +55,8 @@
 	readonly doubleStarts: number;
 	readonly partialAnswers: number;
 	readonly untrueRefusals: number;
+	/** What the scenario left behind beside response times. */
+	readonly evidence: ScenarioEvidence;
 	/** Largest lateness of the bench's own sending; a run with a large one measures the bench. */
 	readonly senderLateMs: Percentiles;
 }
--- a/src/bench/common/benchSummary.ts
+++ b/src/bench/common/benchSummary.ts
@@ -2,6 +2,7 @@
 
 import type { PromiseName } from '../../proof/common/auditRecords.js';
 import { percentilesOf, type BenchReport, type OutcomeCounts, type RunParameters } from './benchReport.js';
+import type { ScenarioEvidence } from './scenarioEvidence.js';
 import type { ArrivingJob } from './workload.js';
 
 /** How one job ended for its reader. */
@@ -20,6 +21,8 @@
 	readonly relays: number;
 	/** All else, by kind. */
 	readonly wastedByKind: Readonly<Record<string, number>>;
+	/** Frames that carry cancellations, and the tasks and jobs named in them. */
+	readonly cancels: { readonly frames: number; readonly items: number };
 }
 
 /** What a run recorded. */
@@ -32,6 +35,7 @@
 	readonly startedTasks: number;
 	readonly messages: MessageCounts;
 	readonly breaches: Readonly<Record<PromiseName, number>>;
+	readonly evidence: ScenarioEvidence;
 }
 
 /**
@@ -60,7 +64,7 @@
 		load: run.load,
 		seed: run.seed,
 		durationMs: run.durationMs,
-		isKeyed: run.isKeyed,
+		keyedShare: run.keyedShare,
 		jobs: run.jobs.length,
 		tasks: run.jobs.reduce((sum, job) => sum + job.runMs.length, 0),
 		outcomes: countOutcomes(run.ended),
@@ -73,6 +77,7 @@
 		doubleStarts: run.breaches.doubleStarts,
 		partialAnswers: run.breaches.partialAnswers + run.breaches.crossedAnswers,
 		untrueRefusals: run.breaches.untrueRefusals,
+		evidence: run.evidence,
 		senderLateMs: percentilesOf(run.ended.map((job) => job.sentLateMs)),
 	};
 }
--- a/src/bench/common/idealSchedule.ts
+++ b/src/bench/common/idealSchedule.ts
@@ -9,6 +9,7 @@
 /** A change in the number of slots, such as the death of a worker. */
 export interface CapacityChange {
 	readonly atMs: number;
+	/** Negative for slots that are won. */
 	readonly slotsLost: number;
 }
 
--- a/src/bench/common/scenarioPlan.ts
+++ b/src/bench/common/scenarioPlan.ts
@@ -16,12 +16,19 @@
 	/** Further flags of the stand-in upstreams, by index of the worker. */
 	readonly upstreamArgs: ReadonlyMap<number, readonly string[]>;
 	readonly kills: readonly WorkerKill[];
+	/** Index of the worker that fails or straggles; absent where none does. */
+	readonly oddWorkerIndex?: number | undefined;
+	/** Jobs that arrive from then on find the failing worker sound again; infinite where none recovers. */
+	readonly soundFromMs: number;
 	readonly ideal: IdealOptions;
 }
 
 /** Index of the worker that fails or straggles. */
 const oddWorkerIndex = 2;
 
+/** Share of the run after which the failing worker is sound again. */
+const recoveryShare = 0.4;
+
 /** Factor by which a straggling worker is slower. */
 const stragglerFactor = 4;
 
@@ -41,22 +48,30 @@
 	const untouched: ScenarioPlan = {
 		upstreamArgs: new Map(),
 		kills: [],
+		soundFromMs: Infinity,
 		ideal: { slots, capacityChanges: [] },
 	};
 	// The ideal avoids a worker that fails or straggles altogether.
-	const idealWithoutOne = { slots: slots - slotsPerWorker, capacityChanges: [] };
+	const slotsWithoutOne = slots - slotsPerWorker;
+	const soundFromMs = recoveryShare * durationMs;
 	return match(scenario)
 		.with('failing-worker', () => ({
 			...untouched,
 			upstreamArgs: new Map([[oddWorkerIndex, ['--fail-share', '1']]]),
-			ideal: idealWithoutOne,
+			oddWorkerIndex,
+			soundFromMs,
+			ideal: {
+				slots: slotsWithoutOne,
+				capacityChanges: [{ atMs: soundFromMs, slotsLost: -slotsPerWorker }],
+			},
 		}))
 		.with('stragglers', () => ({
 			...untouched,
 			upstreamArgs: new Map([
 				[oddWorkerIndex, ['--slow-share', '1', '--slow-factor', String(stragglerFactor)]],
 			]),
-			ideal: idealWithoutOne,
+			oddWorkerIndex,
+			ideal: { slots: slotsWithoutOne, capacityChanges: [] },
 		}))
 		.with('worker-deaths', () => {
 			const kills = [0.3, 0.6].map((share, index) => ({
--- a/src/bench/common/workload.ts
+++ b/src/bench/common/workload.ts
@@ -39,6 +39,8 @@
 	readonly cancelMs?: number | undefined;
 	/** Whether the job belongs to the team that floods. */
 	readonly isFlood: boolean;
+	/** Whether the job has an idempotency key. */
+	readonly isKeyed: boolean;
 }
 
 /** What the arrivals depend on. */
@@ -49,8 +51,13 @@
 	readonly slots: number;
 	readonly durationMs: number;
 	readonly seed: number;
+	/** Share of the jobs, from 0 to 1, that have an idempotency key. */
+	readonly keyedShare: number;
 }
 
+/** Share of the jobs that have an idempotency key, unless another is asked for. */
+export const defaultKeyedShare = 0.2;
+
 const shortTaskMs = { low: 50, high: 1000 } as const;
 const longTaskMs = { low: 2000, high: 6000 } as const;
 const longTaskShare = 0.03;
@@ -89,14 +96,20 @@
  *
  * @returns jobs in order of arrival
  * @example
- * const jobs = drawArrivals({ scenario: 'steady', load: 0.8, slots: 88, durationMs: 30_000, seed: 1 });
+ * const jobs = drawArrivals({ scenario: 'steady', load: 0.8, slots: 88, durationMs: 30_000, seed: 1, keyedShare: 0.2 });
  */
 export function drawArrivals(options: WorkloadOptions): ArrivingJob[] {
 	const random = new SeededRandom(options.seed);
 	const regular = drawStream(options, random, options.load, false);
 	const flood = options.scenario === 'team-flood' ? drawStream(options, random, floodLoad, true) : [];
 	const jobs = [...regular, ...flood].sort((a, b) => a.arriveMs - b.arriveMs);
-	return jobs.map((job, jobIndex) => ({ ...job, jobIndex }));
+	// Keys are drawn by themselves, so that their share leaves the arrivals as they are.
+	const keyRandom = new SeededRandom(options.seed + 1);
+	return jobs.map((job, jobIndex) => ({
+		...job,
+		jobIndex,
+		isKeyed: keyRandom.next() < options.keyedShare,
+	}));
 }
 
 function drawStream(
@@ -137,6 +150,7 @@
 		declaredCores: scenario === 'wrong-declarations' ? random.integer(0, maxDeclaredCores) : 1,
 		cancelMs: drawCancelMs(scenario, random, arriveMs),
 		isFlood,
+		isKeyed: false,
 	};
 }
 
--- a/src/bench/node/agentSlopes.ts
+++ b/src/bench/node/agentSlopes.ts
@@ -4,7 +4,7 @@
 import { DisposableStore } from '../../base/common/disposable.js';
 import { LocalSystem } from '../../proof/node/localSystem.js';
 import { fitLine, type LinearFit } from '../common/linearFit.js';
-import { applyBenchTables, benchPool, benchRoute } from './benchTables.js';
+import { applyBenchTables, benchPool, benchRoute, startBenchSystem } from './benchTables.js';
 import { ClosedLoop } from './closedLoop.js';
 import { meterIdle, type MeteredUsage } from './usageMeter.js';
 
@@ -41,7 +41,7 @@
 	const store = new DisposableStore();
 	try {
 		const system = store.add(
-			await LocalSystem.start({
+			await startBenchSystem({
 				keepers: 1,
 				entries: 2,
 				agents: [{ pool: benchPool, slots: 32 }],
@@ -74,7 +74,7 @@
 	if (entry === undefined) {
 		throw new RangeError('The measurement needs an entry.');
 	}
-	const load = new ClosedLoop({ entryUrl: entry.url, route: benchRoute, tasksPerJob: 1, openJobs, runMs: 0 });
+	const load = new ClosedLoop({ url: entry.url, route: benchRoute, tasksPerJob: 1, openJobs, runMs: 0 });
 	try {
 		await delay(warmUpMs);
 		const before = await load.count();
--- a/src/bench/node/benchTables.ts
+++ b/src/bench/node/benchTables.ts
@@ -4,7 +4,7 @@
 import path from 'node:path';
 import { stringify } from 'smol-toml';
 import { LocalProcess } from '../../proof/node/localProcess.js';
-import { localOperatorToken, type LocalSystem } from '../../proof/node/localSystem.js';
+import { localOperatorToken, LocalSystem, type LocalSystemOptions } from '../../proof/node/localSystem.js';
 
 /** Pool of the bench's upstreams. */
 export const benchPool = 'bench';
@@ -22,6 +22,18 @@
 /** Exit code of `yuccaarch apply` after a change. */
 const changedExitCode = 10;
 
+/** A drain must be allowed to last longer than the longest deadline. */
+const drainTimeoutMs = benchDeadlineMs + 10_000;
+
+/** Starts a system whose processes may have jobs with the bench's deadline. */
+export async function startBenchSystem(options: LocalSystemOptions): Promise<LocalSystem> {
+	return LocalSystem.start({
+		...options,
+		entrySettings: { ...options.entrySettings, drainTimeoutMs },
+		agentSettings: { ...options.agentSettings, drainTimeoutMs },
+	});
+}
+
 /** Applies the bench's tables and waits until they are in force in every process. */
 export async function applyBenchTables(system: LocalSystem): Promise<void> {
 	const [keeper] = system.keepers;
--- a/src/bench/node/closedLoop.ts
+++ b/src/bench/node/closedLoop.ts
@@ -16,7 +16,7 @@
  * Load from a thread of its own.
  *
  * @example
- * const load = store.add(new ClosedLoop({ entryUrl, route: 'bench-route', tasksPerJob: 40, openJobs: 16, runMs: 0 }));
+ * const load = store.add(new ClosedLoop({ url, route: 'bench-route', tasksPerJob: 40, openJobs: 16, runMs: 0 }));
  * const report = await load.stop();
  */
 export class ClosedLoop extends Disposable {
--- a/src/bench/node/closedLoopThread.ts
+++ b/src/bench/node/closedLoopThread.ts
@@ -1,12 +1,14 @@
-/** Thread that keeps a number of equal jobs open at one entry until it is told to stop. */
+/** Thread that keeps a number of equal jobs open at one entry, or tasks at one upstream, until it is told to stop. */
 
 import { parentPort, workerData } from 'node:worker_threads';
 import { Pool } from 'undici';
 
 /** What the thread is started with. */
 export interface ClosedLoopOptions {
-	readonly entryUrl: string;
-	readonly route: string;
+	/** Base URL of an entry, or of an upstream. */
+	readonly url: string;
+	/** Route of the jobs; absent to send single tasks straight to an upstream. */
+	readonly route?: string;
 	readonly tasksPerJob: number;
 	/** Jobs that are open at the same time. */
 	readonly openJobs: number;
@@ -33,12 +35,10 @@
 }
 
 const options = workerData as ClosedLoopOptions;
-const pool = new Pool(options.entryUrl, { connections: options.openJobs, pipelining: 1 });
-const body = JSON.stringify({
-	tasks: Array.from({ length: options.tasksPerJob }, (_, task) => ({ runMs: options.runMs, task })),
-	deadlineMs: 30_000,
-	team: 'north',
-});
+const pool = new Pool(options.url, { connections: options.openJobs, pipelining: 1 });
+const tasks = Array.from({ length: options.tasksPerJob }, (_, task) => ({ runMs: options.runMs, task }));
+const jobBody = JSON.stringify({ tasks, deadlineMs: 30_000, team: 'north' });
+const taskBody = JSON.stringify(tasks[0]);
 const responsesMs: number[] = [];
 let sentJobs = 0;
 let notWhole = 0;
@@ -49,9 +49,9 @@
 	const sentAtMs = performance.now();
 	const response = await pool.request({
 		method: 'POST',
-		path: `/v1/routes/${options.route}/jobs`,
+		path: options.route === undefined ? `/v1/tasks/direct-${sentJobs}/0` : `/v1/routes/${options.route}/jobs`,
 		headers: { 'content-type': 'application/json' },
-		body,
+		body: options.route === undefined ? taskBody : jobBody,
 	});
 	await response.body.dump();
 	responsesMs.push(performance.now() - sentAtMs);
--- a/src/bench/node/entryCounters.ts
+++ b/src/bench/node/entryCounters.ts
@@ -19,17 +19,30 @@
 	wastedMessages: z.record(z.string(), framesSchema),
 });
 
-const bodySchema = z.object({ counters: statsSchema });
+const poolSchema = z.object({ home: z.string(), meanRunMs: z.number() });
+
+const bodySchema = z.object({ counters: statsSchema, pools: z.array(poolSchema) });
 
 /** Counters of one entry. */
 export type EntryCounters = z.output<typeof statsSchema>;
 
 /** Reads the counters of one entry. */
 export async function readEntryCounters(entry: LocalEntry): Promise<EntryCounters> {
+	return (await readStats(entry)).counters;
+}
+
+/** Mean run time that the home of the only pool in use has learned; 0 when no entry is a home. */
+export async function readLearnedRunMs(entries: readonly LocalEntry[]): Promise<number> {
+	const stats = await Promise.all(entries.map((entry) => readStats(entry)));
+	const homes = stats.flatMap(({ pools }) => pools).filter(({ home }) => home === 'self');
+	return Math.max(0, ...homes.map(({ meanRunMs }) => meanRunMs));
+}
+
+async function readStats(entry: LocalEntry): Promise<z.output<typeof bodySchema>> {
 	const response = await request(`${entry.url}/v1/stats`, {
 		headers: { authorization: `Bearer ${localOperatorToken}` },
 	});
-	return bodySchema.parse(await response.body.json()).counters;
+	return bodySchema.parse(await response.body.json());
 }
 
 /**
@@ -49,6 +62,10 @@
 		wastedByKind: Object.fromEntries(
 			wastedKindsOf(counters).map((kind) => [kind, sum((entry) => entry.wastedMessages[kind]?.frames ?? 0)]),
 		),
+		cancels: {
+			frames: sum((entry) => entry.wastedMessages.cancels?.frames ?? 0),
+			items: sum((entry) => entry.wastedMessages.cancels?.items ?? 0),
+		},
 	};
 }
 
@@ -67,5 +84,9 @@
 				count - (before.wastedByKind[kind] ?? 0),
 			]),
 		),
+		cancels: {
+			frames: after.cancels.frames - before.cancels.frames,
+			items: after.cancels.items - before.cancels.items,
+		},
 	};
 }
--- a/src/bench/node/entrySlopes.ts
+++ b/src/bench/node/entrySlopes.ts
@@ -3,9 +3,8 @@
 import { delay, waitFor } from '../../base/common/async.js';
 import { DisposableStore } from '../../base/common/disposable.js';
 import type { LocalEntry } from '../../proof/node/localDaemon.js';
-import { LocalSystem } from '../../proof/node/localSystem.js';
 import { fitLine, type LinearFit } from '../common/linearFit.js';
-import { applyBenchTables, benchRoute } from './benchTables.js';
+import { applyBenchTables, benchRoute, startBenchSystem } from './benchTables.js';
 import { ClosedLoop } from './closedLoop.js';
 import { FakeAgent } from './fakeAgent.js';
 import { createFakeOptions } from './fakeAgents.js';
@@ -64,7 +63,7 @@
 	const store = new DisposableStore();
 	try {
 		const system = store.add(
-			await LocalSystem.start({ keepers: 1, entries: 1, agents: [], proxies: ['entryPeer'] }),
+			await startBenchSystem({ keepers: 1, entries: 1, agents: [], proxies: ['entryPeer'] }),
 		);
 		await applyBenchTables(system);
 		await system.waitUntilServing();
@@ -93,7 +92,7 @@
 	entry: LocalEntry,
 	tasksPerJob: number,
 ): Promise<{ tasks: number; cpuMs: number; bytes: number }> {
-	const load = new ClosedLoop({ entryUrl: entry.url, route: benchRoute, tasksPerJob, openJobs, runMs: 0 });
+	const load = new ClosedLoop({ url: entry.url, route: benchRoute, tasksPerJob, openJobs, runMs: 0 });
 	try {
 		await delay(warmUpMs);
 		const before = await load.count();
--- a/src/bench/node/keeperSlopes.ts
+++ b/src/bench/node/keeperSlopes.ts
@@ -7,7 +7,8 @@
 import { OperatorClient } from '../../operator/node/operatorClient.js';
 import { nullLogService } from '../../platform/log/common/log.js';
 import type { LocalKeeper } from '../../proof/node/localDaemon.js';
-import { LocalSystem, localOperatorToken, localSharedSecret } from '../../proof/node/localSystem.js';
+import { startBenchSystem } from './benchTables.js';
+import { localOperatorToken, localSharedSecret } from '../../proof/node/localSystem.js';
 import { fitLine, type LinearFit } from '../common/linearFit.js';
 import { meter, meterIdle, type MeteredUsage } from './usageMeter.js';
 
@@ -73,7 +74,7 @@
 	const store = new DisposableStore();
 	try {
 		const system = store.add(
-			await LocalSystem.start({ keepers: 1, entries: 0, agents: [], proxies: ['keeperPeer'] }),
+			await startBenchSystem({ keepers: 1, entries: 0, agents: [], proxies: ['keeperPeer'] }),
 		);
 		const [keeper] = system.keepers;
 		if (keeper === undefined) {
--- a/src/bench/node/senderProtocol.ts
+++ b/src/bench/node/senderProtocol.ts
@@ -9,8 +9,8 @@
 	readonly route: string;
 	readonly jobs: readonly ArrivingJob[];
 	readonly deadlineMs: number;
-	/** Whether jobs have idempotency keys. */
-	readonly isKeyed: boolean;
+	/** Jobs that arrive from then on find every worker sound. */
+	readonly soundFromMs: number;
 	/** Connections to each entry that are opened before the first job. */
 	readonly warmConnections: number;
 }
--- a/src/bench/node/senderThread.ts
+++ b/src/bench/node/senderThread.ts
@@ -76,7 +76,7 @@
 				method: 'POST',
 				path: `/v1/routes/${this._options.route}/jobs`,
 				headers: this._headersOf(job),
-				body: JSON.stringify(toBody(job, this._options.deadlineMs)),
+				body: JSON.stringify(toBody(job, this._options)),
 				signal,
 				headersTimeout: 0,
 				bodyTimeout: 0,
@@ -91,7 +91,7 @@
 
 	private _headersOf(job: ArrivingJob): Record<string, string> {
 		const headers = { 'content-type': 'application/json' };
-		return this._options.isKeyed ? { ...headers, 'idempotency-key': `bench-${job.jobIndex}` } : headers;
+		return job.isKeyed ? { ...headers, 'idempotency-key': `bench-${job.jobIndex}` } : headers;
 	}
 
 	private _add(record: JobRecord): void {
@@ -105,9 +105,10 @@
 	}
 }
 
-function toBody(job: ArrivingJob, deadlineMs: number): object {
+function toBody(job: ArrivingJob, { deadlineMs, soundFromMs }: SenderOptions): object {
+	const mayFail = job.arriveMs < soundFromMs;
 	return {
-		tasks: job.runMs.map((runMs, task) => ({ runMs, token: tokenOf(job.jobIndex, task) })),
+		tasks: job.runMs.map((runMs, task) => ({ runMs, token: tokenOf(job.jobIndex, task), mayFail })),
 		deadlineMs,
 		team: job.team,
 		needs: { cores: job.declaredCores },
--- a/src/bench/node/startRateBench.ts
+++ b/src/bench/node/startRateBench.ts
@@ -2,9 +2,8 @@
 
 import { delay, waitFor } from '../../base/common/async.js';
 import { DisposableStore } from '../../base/common/disposable.js';
-import { LocalSystem } from '../../proof/node/localSystem.js';
 import type { LocalEntry } from '../../proof/node/localDaemon.js';
-import { applyBenchTables, benchRoute } from './benchTables.js';
+import { applyBenchTables, benchRoute, startBenchSystem } from './benchTables.js';
 import { ClosedLoop } from './closedLoop.js';
 import { FakeAgent } from './fakeAgent.js';
 import { createFakeOptions } from './fakeAgents.js';
@@ -35,7 +34,7 @@
 export async function measureStartRate(): Promise<StartRate> {
 	const store = new DisposableStore();
 	try {
-		const system = store.add(await LocalSystem.start({ keepers: 1, entries: 1, agents: [] }));
+		const system = store.add(await startBenchSystem({ keepers: 1, entries: 1, agents: [] }));
 		await applyBenchTables(system);
 		await system.waitUntilServing();
 		const [entry] = system.entries;
@@ -47,7 +46,7 @@
 		);
 		await waitFor('every fake agent is connected', 5000, () => agents.every((agent) => agent.isConnected));
 		const load = store.add(
-			new ClosedLoop({ entryUrl: entry.url, route: benchRoute, tasksPerJob, openJobs, runMs: 0 }),
+			new ClosedLoop({ url: entry.url, route: benchRoute, tasksPerJob, openJobs, runMs: 0 }),
 		);
 		await delay(warmUpMs);
 		const rate = await measure(entry, () => agents.reduce((sum, agent) => sum + agent.startedTasks, 0));
--- a/src/standins/common/upstreamOptions.ts
+++ b/src/standins/common/upstreamOptions.ts
@@ -61,6 +61,8 @@
 	token: z.string().max(200).optional(),
 	/** Whether the task fails. */
 	fail: z.boolean().optional(),
+	/** Whether the upstream's `failShare` applies to the task; true when absent. */
+	mayFail: z.boolean().optional(),
 	/** Length of the padding in the result. */
 	resultBytes: z.number().int().nonnegative().max(64_000_000).optional(),
 	/** Use that is reported for the task. */
