--- a/src/proof/common/auditRecords.ts
+++ b/src/proof/common/auditRecords.ts
@@ -110,6 +110,8 @@
 	readonly promise: PromiseName;
 	/** A sentence that names the task, job or process. */
 	readonly description: string;
+	/** Task that was concerned; absent for changes. */
+	readonly token?: string;
 }
 
 /** How much an audit saw of what some counters need. */
--- a/src/proof/common/auditor.ts
+++ b/src/proof/common/auditor.ts
@@ -56,7 +56,7 @@
 		const upstreams = starts.map((start) => start.upstream).join(', ');
 		for (let extra = 1; extra < starts.length; extra += 1) {
 			breaches.push(
-				breach('doubleStarts', `Task ${token} was started ${starts.length} times: ${upstreams}.`),
+				breach('doubleStarts', `Task ${token} was started ${starts.length} times: ${upstreams}.`, token),
 			);
 		}
 	}
@@ -109,7 +109,11 @@
 		if (started.length > 0) {
 			const { reason } = record.outcome;
 			breaches.push(
-				breach('untrueRefusals', `${describeJob(record)} was refused (${reason}) but started ${started[0]}.`),
+				breach(
+					'untrueRefusals',
+					`${describeJob(record)} was refused (${reason}) but started ${started[0]}.`,
+					started[0],
+				),
 			);
 		}
 	}
@@ -143,7 +147,7 @@
 	);
 	return cut.map((record) => {
 		const message = record.outcome.kind === 'noAnswer' ? record.outcome.message : '';
-		return breach('cutRequests', `${describeJob(record)} got no answer: ${message}`);
+		return breach('cutRequests', `${describeJob(record)} got no answer: ${message}`, record.tokens[0]);
 	});
 }
 
@@ -158,7 +162,7 @@
 			.map((start) => {
 				const lateMs = Math.round(start.atMs - leaving.leftAtMs);
 				const text = `${leaving.upstream} got task ${start.token} ${lateMs} ms after it left.`;
-				return breach('lateStarts', text);
+				return breach('lateStarts', text, start.token);
 			});
 	});
 }
@@ -279,8 +283,8 @@
 	return counts;
 }
 
-function breach(promise: PromiseName, description: string): Breach {
-	return { promise, description };
+function breach(promise: PromiseName, description: string, token?: string): Breach {
+	return { promise, description, ...(token === undefined ? {} : { token }) };
 }
 
 function describeJob(record: ReaderRecord): string {
--- a/src/proof/common/revisionObservations.ts
+++ b/src/proof/common/revisionObservations.ts
@@ -29,8 +29,9 @@
 const afterLimitMs = 1;
 
 /**
- * Observes each run at each revision that it logged, and at the time by which each accepted change must be in force,
- * unless the change had less than the whole limit without a fault that keeps it away.
+ * Observes each run at each revision that it logged, and at the times by which accepted changes must be in force:
+ * the whole limit after each acceptance, after its readiness, and after each fault that kept changes away, unless
+ * another such fault fell into the limit.
  *
  * @example
  * audit({ starts, readers, changes, observations: observeRuns(runs, changes, staleTimes) });
@@ -40,17 +41,26 @@
 	changes: readonly AcceptedChange[],
 	staleTimes: readonly StaleTime[],
 ): RevisionObservation[] {
-	const dueTimesMs = changes.map((change) => change.acceptedAtMs + inForceLimitMs + afterLimitMs);
+	const causesMs = [
+		...changes.map((change) => change.acceptedAtMs),
+		...staleTimes.map((stale) => stale.untilMs + afterLimitMs),
+	];
 	return runs.flatMap((run) => {
 		const { processId, incarnation } = run;
 		const seen = run.revisions.map(({ revision, atMs }) => ({ revision, atMs, isDue: false }));
-		const due = dueTimesMs
+		const due = [run.readyAtMs, ...causesMs]
+			.map(dueTimeMs)
 			.filter((atMs) => isReachable(run, atMs, staleTimes))
 			.map((atMs) => ({ revision: revisionAt(run, atMs), atMs, isDue: true }));
 		return [...seen, ...due].map((observation) => ({ processId, incarnation, ...observation }));
 	});
 }
 
+/** The time by which what was accepted before a time must be in force. */
+export function dueTimeMs(fromMs: number): number {
+	return fromMs + inForceLimitMs + afterLimitMs;
+}
+
 function isReachable(run: ObservedRun, atMs: number, staleTimes: readonly StaleTime[]): boolean {
 	const fromMs = atMs - inForceLimitMs - afterLimitMs;
 	const runs = run.readyAtMs <= fromMs && run.endedAtMs > atMs;
--- a/src/proof/common/test/revisionObservations.test.ts
+++ b/src/proof/common/test/revisionObservations.test.ts
@@ -39,10 +39,18 @@
 test('a process must have a change only when it ran, and could be reached, for the whole limit', (t) => {
 	const late = [{ revision: 5, atMs: 20_000 }];
 	t.is(reverted(run(late)), 1);
-	t.is(reverted(run(late, { readyAtMs: 10_500 })), 0);
+	t.is(reverted(run(late, { readyAtMs: 16_000 })), 1);
+	t.is(reverted(run(late, { readyAtMs: 17_500 })), 0);
 	t.is(reverted(run(late, { endedAtMs: 12_000 })), 0);
-	t.is(reverted(run(late), [{ processId: 'agent-1', fromMs: 9000, untilMs: 10_500 }]), 0);
+	t.is(reverted(run(late), [{ processId: 'agent-1', fromMs: 9000, untilMs: 17_500 }]), 0);
 	t.is(reverted(run(late), [{ fromMs: 12_000, untilMs: Infinity }]), 0);
 	t.is(reverted(run(late), [{ processId: 'agent-2', fromMs: 9000, untilMs: 30_000 }]), 1);
 	t.is(reverted(run(late), [{ fromMs: 1000, untilMs: 9000 }]), 1);
 });
+
+test('a process must have what was accepted once it has run, or could be reached again, for the whole limit', (t) => {
+	t.is(reverted(run([], { readyAtMs: 20_000 })), 1);
+	t.is(reverted(run([], { readyAtMs: 20_000, endedAtMs: 23_000 })), 0);
+	t.is(reverted(run([], { readyAtMs: 20_000 }), [{ fromMs: 0, untilMs: 50_000 }]), 1);
+	t.is(reverted(run([{ revision: 5, atMs: 52_999 }]), [{ fromMs: 9000, untilMs: 50_000 }]), 0);
+});
--- a/src/proof/node/localDaemon.ts
+++ b/src/proof/node/localDaemon.ts
@@ -32,6 +32,8 @@
 	endedAtMs: number;
 	/** In the order in which the process said so. */
 	readonly revisions: RevisionInForce[];
+	/** Its log so far. */
+	readonly events: readonly LogLine[];
 }
 
 /** One daemon and, after it was killed, its successors. */
@@ -92,6 +94,7 @@
 			readyAtMs: Date.parse(this._ready.time),
 			endedAtMs: Infinity,
 			revisions,
+			events: this._process.events,
 		};
 		this.runs.push(run);
 		void this._process.exited.then(() => {
--- a/src/proof/node/proofRun.ts
+++ b/src/proof/node/proofRun.ts
@@ -2,11 +2,12 @@
 
 import { Disposable, toDisposable, type IDisposable } from '../../base/common/disposable.js';
 import type { TablesBody } from '../../protocol/common/operatorApi.js';
+import { waitFor } from '../../base/common/async.js';
 import { audit } from '../common/auditor.js';
 import type { AcceptedChange, AuditInput, AuditReport, EntryFault, Leaving } from '../common/auditRecords.js';
 import { startsOfJournals } from '../common/journalStarts.js';
 import type { KeptChange, OperatorRecord } from '../common/operatorRecords.js';
-import { observeRuns, type ObservedRun, type StaleTime } from '../common/revisionObservations.js';
+import { dueTimeMs, observeRuns, type ObservedRun, type StaleTime } from '../common/revisionObservations.js';
 import { askKeeper } from './askKeeper.js';
 import { exampleFiles } from './exampleFiles.js';
 import { LocalSystem, type LocalSystemOptions } from './localSystem.js';
@@ -16,6 +17,9 @@
 /** Longest time for agents and entries to find each other after they are ready. */
 const settlingTimeoutMs = 20_000;
 
+/** Longer than changes may take; only a clock that jumps makes this wait end by its timeout. */
+const inForceTimeoutMs = 60_000;
+
 /** A route of each example deployment, and the pool that answers it. */
 const settlingRoutes: Readonly<Record<string, string>> = {
 	ledger: 'consignment-status',
@@ -128,6 +132,27 @@
 		});
 	}
 
+	/**
+	 * Waits until every process that runs has every accepted change in force, or until the time by which it must; the
+	 * audit tells which of them it was.
+	 */
+	async awaitInForce(): Promise<void> {
+		const newest = Math.max(0, ...this._changes.map(({ revision }) => revision));
+		const running = this._runs().filter(({ endedAtMs }) => endedAtMs === Infinity);
+		const causesMs = [
+			...this._changes.map(({ acceptedAtMs }) => acceptedAtMs),
+			...running.map(({ readyAtMs }) => readyAtMs),
+			...this._staleTimes.map(({ untilMs }) => untilMs),
+		];
+		const untilMs = dueTimeMs(Math.max(...causesMs.filter(Number.isFinite)));
+		const hasNewest = ({ revisions }: ObservedRun): boolean => revisions.at(-1)?.revision === newest;
+		await waitFor(
+			'every process has every change in force or is too late',
+			inForceTimeoutMs,
+			() => Date.now() > untilMs || running.every(hasNewest),
+		);
+	}
+
 	/** Judges the run so far. */
 	audit(): AuditReport {
 		return audit({
@@ -135,7 +160,7 @@
 			readers: this.readers.records,
 			entryFaults: [...this._entryFaults, ...this._openFaults.values()],
 			leavings: this._leavings,
-			observations: observeRuns(this._runs(), this._changes, this._staleTimes),
+			observations: observeRuns(endOpenRuns(this._runs()), this._changes, this._staleTimes),
 			changes: this._changes,
 			...(this._operators === undefined ? {} : { operators: this._operators }),
 		});
@@ -143,9 +168,8 @@
 
 	private _runs(): ObservedRun[] {
 		const { keepers, entries, agents } = this.system;
-		const nowMs = Date.now();
 		return [...keepers, ...entries, ...agents].flatMap(({ name, runs }) =>
-			runs.map((run) => ({ ...run, processId: name, endedAtMs: Math.min(run.endedAtMs, nowMs) })),
+			runs.map((run) => ({ ...run, processId: name })),
 		);
 	}
 
@@ -165,3 +189,9 @@
 		await this.system.close();
 	}
 }
+
+/** Runs that go on are known until now. */
+function endOpenRuns(runs: readonly ObservedRun[]): ObservedRun[] {
+	const nowMs = Date.now();
+	return runs.map((run) => ({ ...run, endedAtMs: Math.min(run.endedAtMs, nowMs) }));
+}
--- a/src/proof/node/soak.ts
+++ b/src/proof/node/soak.ts
@@ -4,6 +4,7 @@
 import { SeededRandom } from '../../base/common/random.js';
 import type { AuditReport } from '../common/auditRecords.js';
 import { drawFault, type SoakFault } from '../common/soakPlan.js';
+import { traceBreaches, type BreachTrace, type InjectedFault } from './breachTrace.js';
 import { OperatorLoad } from './operatorLoad.js';
 import { ProofRun } from './proofRun.js';
 import { ReaderLoad } from './readerLoad.js';
@@ -28,6 +29,8 @@
 	readonly audit: AuditReport;
 	/** Processes that did not drain, or entries that did not serve again, as sentences. */
 	readonly failures: readonly string[];
+	/** What was going on around the tasks of broken promises. */
+	readonly traces: readonly BreachTrace[];
 }
 
 /** Faults that are active at the same time. */
@@ -83,34 +86,54 @@
 		targets: () => faults.servingEntries(),
 	});
 	const untilMs = performance.now() + seconds * 1000;
-	const counts: Record<string, number> = {};
+	const injected: InjectedFault[] = [];
 	await Promise.all(
 		Array.from({ length: lanes }, (_, lane) =>
-			runLane(faults, new SeededRandom(seed * lanes + lane), untilMs, counts),
+			runLane(faults, new SeededRandom(seed * lanes + lane), untilMs, injected),
 		),
 	);
 	const failures = await recover(run);
 	await load.stop();
 	await operators.stop();
+	await run.awaitInForce();
 	failures.push(...faults.failures, ...(await drain(run)));
-	return { seed, seconds, jobs: load.jobCount, faults: counts, audit: run.audit(), failures };
+	const audit = run.audit();
+	return {
+		seed,
+		seconds,
+		jobs: load.jobCount,
+		faults: countKinds(injected),
+		audit,
+		failures,
+		traces: traceBreaches(run, audit, injected),
+	};
 }
 
 async function runLane(
 	faults: SoakFaults,
 	random: SeededRandom,
 	untilMs: number,
-	counts: Record<string, number>,
+	injected: InjectedFault[],
 ): Promise<void> {
 	while (performance.now() < untilMs) {
 		const fault: SoakFault = drawFault(random);
+		const fromMs = Date.now();
 		if (await faults.inject(fault)) {
-			counts[fault.kind] = (counts[fault.kind] ?? 0) + 1;
+			const { kind, target } = fault;
+			injected.push({ kind, targets: faults.describeTargets(target), fromMs, untilMs: Date.now() });
 		}
 		await delay(fault.pauseMs);
 	}
 }
 
+function countKinds(injected: readonly InjectedFault[]): Record<string, number> {
+	const counts: Record<string, number> = {};
+	for (const { kind } of injected) {
+		counts[kind] = (counts[kind] ?? 0) + 1;
+	}
+	return counts;
+}
+
 /** Waits until every entry serves each pool again. */
 async function recover(run: ProofRun): Promise<string[]> {
 	const failures: string[] = [];
--- a/src/proof/node/soakFaults.ts
+++ b/src/proof/node/soakFaults.ts
@@ -40,6 +40,12 @@
 		return this._run.system.entries.filter((entry) => entry.isRunning && !this._unready.has(entry));
 	}
 
+	/** The entry, agent and keeper that a fault's target stands for. */
+	describeTargets(target: number): string {
+		const { entries, agents, keepers } = this._run.system;
+		return [entries, agents, keepers].map((daemons) => pick<LocalDaemon>(daemons, target).name).join(' ');
+	}
+
 	/** Injects a fault and takes it back after its time. Returns false when its target has another fault. */
 	async inject(fault: SoakFault): Promise<boolean> {
 		const { system } = this._run;
--- a/src/proof/test/proofScenario.ts
+++ b/src/proof/test/proofScenario.ts
@@ -90,6 +90,7 @@
 ): Promise<void> {
 	await load.stop();
 	await operators?.stop();
+	await run.awaitInForce();
 	const report = await run.finish();
 	const { starts, outcomes, reasons, seen } = report;
 	t.log(JSON.stringify({ jobs: load.jobCount, starts, outcomes, reasons, seen }));
