--- a/src/agent/common/agentSettings.ts
+++ b/src/agent/common/agentSettings.ts
@@ -2,6 +2,7 @@
 
 import { z } from 'zod';
 import { keeperEndpointSchema } from '../../control/common/keeperEndpoint.js';
+import { controlPaths } from '../../control/common/serverChoice.js';
 import {
 	addressSchema,
 	durationMsSchema,
@@ -16,6 +17,10 @@
 		.array(keeperEndpointSchema)
 		.min(1)
 		.describe('The keepers. Each process tries them in an order of its own, which spreads the load.'),
+	controlPath: z
+		.enum(controlPaths)
+		.default('keepers')
+		.describe('By what the agent subscribes to the tables: by a keeper, or by an entry that relays them.'),
 	identityRetentionMs: durationMsSchema
 		.default(600_000)
 		.describe(
--- a/src/code/node/commands/agentCommand.ts
+++ b/src/code/node/commands/agentCommand.ts
@@ -43,8 +43,8 @@
 		processId: settings.processId,
 		incarnation: randomUUID(),
 	};
-	const { keepers, sharedSecret: secret, maxResultBytes } = settings;
-	const controlPlane = new ControlPlaneClient({ keepers, identity, secret, log });
+	const { keepers, controlPath: path, dataCentre, sharedSecret: secret, maxResultBytes } = settings;
+	const controlPlane = new ControlPlaneClient({ keepers, path, dataCentre, identity, secret, log });
 	const daemon = await AgentDaemon.start(settings, {
 		identity,
 		controlPlane,
--- a/src/control/common/controlStateStore.ts
+++ b/src/control/common/controlStateStore.ts
@@ -10,6 +10,8 @@
 	EntryDirectory,
 } from '../../protocol/common/keeperMessages.js';
 import type { ControlState } from './controlPlane.js';
+import { DeltaLog } from './deltaLog.js';
+import type { IStateSource } from './stateSource.js';
 
 /** A message that carries state or its freshness. */
 export type StateMessage = ControlSnapshotMessage | ControlDeltaMessage | ControlFreshnessMessage;
@@ -25,18 +27,27 @@
 	/** The keeper's history is another one, and nothing in it is known to be newer. */
 	| 'otherHistory';
 
-/** Holds the newest state. Revision and epoch never go back. */
-export class ControlStateStore {
+/** Holds the newest state, and serves others from it. Revision and epoch never go back. */
+export class ControlStateStore implements IStateSource {
 	private _state: ControlState = { tables: emptyTables, directory: { epoch: 0, entries: [] } };
-	private _historyId: string | undefined;
+	private readonly _deltas = new DeltaLog();
+	private _historyId = '';
 	private _confirmedAtMs = -Infinity;
 
 	get state(): ControlState {
 		return this._state;
 	}
 
-	/** History that the state belongs to; undefined before the first snapshot. */
-	get historyId(): string | undefined {
+	get tables(): Tables {
+		return this._state.tables;
+	}
+
+	get directory(): EntryDirectory {
+		return this._state.directory;
+	}
+
+	/** History that the state belongs to; empty before the first snapshot. */
+	get historyId(): string {
 		return this._historyId;
 	}
 
@@ -45,6 +56,10 @@
 		return this._confirmedAtMs;
 	}
 
+	deltasSince(revision: number, maxDeltas: number): readonly TableDelta[] | undefined {
+		return this._deltas.between(revision, this._state.tables.revision, maxDeltas);
+	}
+
 	/**
 	 * Takes a message.
 	 *
@@ -66,10 +81,13 @@
 	}
 
 	private _takeSnapshot({ historyId, tables, directory }: ControlSnapshotMessage): TakeResult {
-		const isSameHistory = this._historyId === undefined || this._historyId === historyId;
+		const isSameHistory = this._historyId === '' || this._historyId === historyId;
 		if (!isSameHistory && !this._isNewer(tables, directory)) {
 			return 'otherHistory';
 		}
+		if (this._historyId !== historyId || tables.revision > this._state.tables.revision) {
+			this._deltas.clear();
+		}
 		this._historyId = historyId;
 		return this._setNewer(tables, directory);
 	}
@@ -82,6 +100,7 @@
 		if (tables === undefined) {
 			return 'gap';
 		}
+		this._deltas.add(deltas.filter(({ revision }) => revision > this._state.tables.revision));
 		return this._setNewer(tables, directory ?? this._state.directory);
 	}
 
--- /dev/null
+++ b/src/control/common/messageFaults.ts
@@ -0,0 +1,19 @@
+/** Says what is wrong with a message that its schema refused. */
+
+import type { ZodError } from 'zod';
+
+/** Faults that are named; a message of another format would have one in each row. */
+const maxNamedFaults = 5;
+
+/**
+ * Names the faulty fields of a refused message.
+ *
+ * @example
+ * describeFaults(parsed.error); // 'probe: Invalid input: expected number, received string'
+ */
+export function describeFaults(error: ZodError): string {
+	return error.issues
+		.slice(0, maxNamedFaults)
+		.map((issue) => `${issue.path.join('.')}: ${issue.message}`)
+		.join('; ');
+}
--- a/src/keeper/common/reportWriter.ts
+++ b/src/control/common/reportWriter.ts
@@ -1,4 +1,4 @@
-/** Writes a keeper's reports to one other keeper: what is new, and who is silent. */
+/** Writes the reports of a keeper to another, or of an entry to its keeper: what is new, and who is silent. */
 
 import type {
 	MemberReport,
@@ -11,11 +11,18 @@
 /** A subscriber renews its lease at shorter intervals; one that was heard within this time needs no mention. */
 export const heardWithinMs = 500;
 
+/**
+ * The same for a process that subscribes to an entry: the entry itself may have heard it so long ago, reports at the
+ * intervals of its lease, and the keeper reports on at an interval of its own.
+ */
+export const relayedWithinMs = 1000;
+
 /** What was last reported about a process. */
 interface Reported {
 	readonly incarnation: string;
 	readonly subscribedAtMs: number;
 	readonly hasLeft: boolean;
+	readonly relayId?: string | undefined;
 	readonly status: MemberStatus;
 }
 
@@ -23,6 +30,11 @@
 export class ReportWriter {
 	private readonly _reported = new Map<string, Reported>();
 
+	/** Whether nobody is reported at present. */
+	get isEmpty(): boolean {
+		return this._reported.size === 0;
+	}
+
 	/**
 	 * Writes the next report.
 	 *
@@ -39,7 +51,7 @@
 			if (this._isChanged(record)) {
 				this._reported.set(record.processId, record);
 				members.push(toReport(record, nowMs));
-			} else if (heardAgoMs > heardWithinMs) {
+			} else if (heardAgoMs > (record.relayId === undefined ? heardWithinMs : relayedWithinMs)) {
 				silent.push({ processId: record.processId, heardAgoMs });
 			}
 		}
@@ -49,7 +61,7 @@
 				silent.push({ processId, heardAgoMs: Infinity });
 			}
 		}
-		return { kind: 'memberReports', members, heardWithinMs, silent };
+		return { kind: 'memberReports', members, heardWithinMs, relayedWithinMs, silent };
 	}
 
 	private _isChanged(record: MemberRecord): boolean {
@@ -58,13 +70,14 @@
 			last?.incarnation !== record.incarnation ||
 			last.subscribedAtMs !== record.subscribedAtMs ||
 			last.hasLeft !== record.hasLeft ||
+			last.relayId !== record.relayId ||
 			last.status !== record.status
 		);
 	}
 }
 
 function toReport(record: MemberRecord, nowMs: number): MemberReport {
-	const { processId, role, incarnation, hasLeft, status } = record;
+	const { processId, role, incarnation, hasLeft, relayId, status } = record;
 	return {
 		processId,
 		role,
@@ -72,6 +85,7 @@
 		subscribedAgoMs: nowMs - record.subscribedAtMs,
 		heardAgoMs: nowMs - record.heardAtMs,
 		hasLeft,
+		relayId,
 		status,
 	};
 }
--- /dev/null
+++ b/src/control/common/serverChoice.ts
@@ -0,0 +1,112 @@
+/** Decides by which keeper or entry a process holds its subscription. Pure: the client runs it on what it knows. */
+
+import { rendezvousOrder } from '../../base/common/rendezvous.js';
+import type { EntryDirectory } from '../../protocol/common/keeperMessages.js';
+import type { KeeperEndpoint } from './keeperEndpoint.js';
+
+/** By what a process subscribes: always by a keeper, or by an entry as long as one serves it. */
+export const controlPaths = ['keepers', 'entries'] as const;
+
+/** By what a process subscribes. */
+export type ControlPath = (typeof controlPaths)[number];
+
+/** A process that serves subscriptions. */
+export interface ControlServer extends KeeperEndpoint {
+	readonly kind: 'keeper' | 'entry';
+}
+
+/** What the choice depends on. */
+export interface ServerChoiceOptions {
+	readonly processId: string;
+	readonly dataCentre: string;
+	readonly keepers: readonly KeeperEndpoint[];
+	readonly path: ControlPath;
+}
+
+/** Chooses a server after the other. Processes choose in different orders, which spreads their load. */
+export class ServerChoice {
+	private readonly _keepers: readonly ControlServer[];
+	private _keeperIndex = 0;
+
+	constructor(private readonly _options: ServerChoiceOptions) {
+		this._keepers = orderKeepers(_options.processId, _options.keepers);
+	}
+
+	/** Server to start with. Only a keeper is known then: the entries are in the directory. */
+	first(): ControlServer {
+		return this._keeperAt(0);
+	}
+
+	/**
+	 * Server after one that was lost, silent or stale. An entry's subscribers go to other entries first, so that they
+	 * don't fall on the keepers together; when that one is no better, they go to the keepers, which need no directory.
+	 *
+	 * @param movesInVain moves before this one since a server last proved to be fresh
+	 */
+	next(current: ControlServer, directory: EntryDirectory, movesInVain: number): ControlServer {
+		const rounds = movesInVain / (this._keepers.length + 1);
+		const entries = this._entries(directory).filter(({ processId }) => processId !== current.processId);
+		const entry = Number.isInteger(rounds) ? entries[rounds % entries.length] : undefined;
+		if (entry !== undefined) {
+			return entry;
+		}
+		if (current.kind === 'keeper') {
+			this._keeperIndex = (this._keeperIndex + 1) % this._keepers.length;
+		}
+		return this._keeperAt(this._keeperIndex);
+	}
+
+	/**
+	 * Server that the process should be with instead, or undefined when it is with the right one.
+	 *
+	 * @example
+	 * choice.better(choice.first(), client.state.directory); // an entry, with the path "entries"
+	 */
+	better(current: ControlServer, directory: EntryDirectory): ControlServer | undefined {
+		const [best] = this._entries(directory);
+		return best === undefined || isSameServer(best, current) ? undefined : best;
+	}
+
+	/** Entries that serve the process: those of its own data centre first, in an order of its own. */
+	private _entries({ entries }: EntryDirectory): ControlServer[] {
+		const { path, processId, dataCentre } = this._options;
+		if (path === 'keepers') {
+			return [];
+		}
+		const serving = entries.filter((entry) => !entry.isDraining);
+		const order = rendezvousOrder(
+			processId,
+			serving.map((entry) => entry.processId),
+		);
+		const sorted = order.flatMap((name) => serving.filter((entry) => entry.processId === name));
+		const near = sorted.filter((entry) => entry.dataCentre === dataCentre);
+		const far = sorted.filter((entry) => entry.dataCentre !== dataCentre);
+		return [...near, ...far].map((entry) => ({
+			kind: 'entry',
+			processId: entry.processId,
+			address: entry.peerAddress,
+		}));
+	}
+
+	private _keeperAt(index: number): ControlServer {
+		const keeper = this._keepers[index];
+		if (keeper === undefined) {
+			throw new RangeError('A process needs at least one keeper in its settings.');
+		}
+		return keeper;
+	}
+}
+
+function isSameServer(a: ControlServer, b: ControlServer): boolean {
+	return a.kind === b.kind && a.processId === b.processId && a.address === b.address;
+}
+
+function orderKeepers(processId: string, keepers: readonly KeeperEndpoint[]): readonly ControlServer[] {
+	const order = rendezvousOrder(
+		processId,
+		keepers.map((keeper) => keeper.processId),
+	);
+	return keepers
+		.map((keeper): ControlServer => ({ kind: 'keeper', ...keeper }))
+		.sort((a, b) => order.indexOf(a.processId) - order.indexOf(b.processId));
+}
--- /dev/null
+++ b/src/control/node/controlLink.ts
@@ -0,0 +1,83 @@
+/** One connection to the keeper or entry that serves a process's subscription. */
+
+import { Disposable } from '../../base/common/disposable.js';
+import { Emitter } from '../../base/common/event.js';
+import type { Message } from '../../platform/transport/common/transport.js';
+import type { ConnectionOptions } from '../../platform/transport/node/frameConnection.js';
+import { FrameConnector } from '../../platform/transport/node/frameConnector.js';
+import type { KeeperToMemberMessage, MemberToKeeperMessage } from '../../protocol/common/keeperMessages.js';
+import { keeperToMemberSchema } from '../../protocol/common/keeperMessageSchemas.js';
+import { describeFaults } from '../common/messageFaults.js';
+import type { ControlServer } from '../common/serverChoice.js';
+
+/** Connects to one server, and hands on only messages that are well formed. */
+export class ControlLink extends Disposable {
+	private readonly _onDidOpen = this._register(new Emitter<undefined>());
+	readonly onDidOpen = this._onDidOpen.event;
+
+	private readonly _onDidReceive = this._register(new Emitter<KeeperToMemberMessage>());
+	readonly onDidReceive = this._onDidReceive.event;
+
+	private readonly _onDidFail = this._register(new Emitter<string>());
+	/** Fires with the reason when the server can't be used. The owner disposes the link then. */
+	readonly onDidFail = this._onDidFail.event;
+
+	private readonly _connector: FrameConnector;
+
+	constructor(
+		readonly server: ControlServer,
+		options: ConnectionOptions,
+	) {
+		super();
+		// An agent's connection for tasks has its own role, so that an entry can tell the two apart.
+		const role = server.kind === 'entry' ? 'subscriber' : options.identity.role;
+		const identity = { ...options.identity, role };
+		this._connector = this._register(new FrameConnector(server.address, { ...options, identity }));
+		this._connector.onDidConnect((connection) => {
+			connection.onDidReceive((message) => {
+				this._receive(message);
+			});
+			this._onDidOpen.fire(undefined);
+		});
+		this._connector.onDidFail((reason) => {
+			this._onDidFail.fire(reason);
+		});
+	}
+
+	get isOpen(): boolean {
+		return this._connector.connection !== undefined;
+	}
+
+	/** Sends a message; one for a link that is not open is dropped. */
+	send(message: MemberToKeeperMessage): void {
+		this._connector.connection?.send(message);
+	}
+
+	/** Closes the link once what was sent is handed to the network, or after a time. */
+	async end(timeoutMs: number): Promise<void> {
+		const connection = this._connector.connection;
+		if (connection === undefined) {
+			return;
+		}
+		const closed = new Promise<void>((resolve) => {
+			connection.onDidClose(() => {
+				resolve();
+			});
+			setTimeout(resolve, timeoutMs);
+		});
+		connection.end();
+		await closed;
+	}
+
+	private _receive(message: Message): void {
+		if (this._isDisposed) {
+			return;
+		}
+		const parsed = keeperToMemberSchema.safeParse(message);
+		if (parsed.success) {
+			this._onDidReceive.fire(parsed.data);
+			return;
+		}
+		this._onDidFail.fire(`It sent a malformed "${message.kind}": ${describeFaults(parsed.error)}`);
+	}
+}
--- a/src/control/node/controlPlaneClient.ts
+++ b/src/control/node/controlPlaneClient.ts
@@ -1,20 +1,16 @@
-/** Subscribes a process to one keeper at a time, and moves to another when that one is lost, silent or stale. */
+/** Subscribes a process to one keeper or entry at a time, and moves on when that one is lost, silent or stale. */
 
 import { match } from 'ts-pattern';
 import { backoffMs, type BackoffOptions } from '../../base/common/async.js';
 import { monotonicClock, type IClock } from '../../base/common/clock.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { Emitter } from '../../base/common/event.js';
-import { rendezvousOrder } from '../../base/common/rendezvous.js';
 import type { ILogService } from '../../platform/log/common/log.js';
 import {
 	defaultConnectionLimits,
 	type ConnectionLimits,
-	type IConnection,
-	type Message,
 	type PeerIdentity,
 } from '../../platform/transport/common/transport.js';
-import { FrameConnector } from '../../platform/transport/node/frameConnector.js';
 import type {
 	ClaimOutcome,
 	ClaimRequest,
@@ -25,25 +21,25 @@
 import type { ControlState, IControlPlane } from '../common/controlPlane.js';
 import { ControlStateStore, type StateMessage } from '../common/controlStateStore.js';
 import type { KeeperEndpoint } from '../common/keeperEndpoint.js';
-import { PendingClaims } from '../common/pendingClaims.js';
+import type { MemberRecord } from '../common/memberRegistry.js';
 import { ProbeBook } from '../common/probeBook.js';
+import { ServerChoice, type ControlPath, type ControlServer } from '../common/serverChoice.js';
+import { StalenessWatch } from '../common/stalenessWatch.js';
+import type { IStateSource } from '../common/stateSource.js';
+import { ClaimSender } from './claimSender.js';
+import { ControlLink } from './controlLink.js';
+import { ReportSender } from './reportSender.js';
+import { ReturnTrial } from './returnTrial.js';
 
 /** Time between renewals of the lease. */
 const renewIntervalMs = 250;
 
-/** Time between looks at whether the keeper is fresh. */
+/** Time between looks at whether the server is fresh. */
 const watchIntervalMs = 50;
 
-/** Age of the state beyond which another keeper is tried; doubles while no keeper proves to be fresher. */
-const moveAfterMs = 700;
-const maxMoveAfterMs = 6000;
-
-/** Wait before the next keeper is tried. */
+/** Wait before the next server is tried. */
 const moveBackoff: BackoffOptions = { firstMs: 20, maxMs: 1000 };
 
-/** Wait before a claim is sent again that a keeper could not record. */
-const claimRetryMs = 50;
-
 /** Time that a farewell may take to be handed to the network. */
 const leaveTimeoutMs = 100;
 
@@ -53,6 +49,10 @@
 	readonly identity: PeerIdentity;
 	readonly secret: string;
 	readonly log: ILogService;
+	/** By what the process subscribes; `keepers` by default. */
+	readonly path?: ControlPath;
+	/** Data centre of the process, whose entries it prefers. */
+	readonly dataCentre?: string;
 	readonly limits?: ConnectionLimits;
 	readonly clock?: IClock;
 	/** Returns a number from 0 up to 1; spreads the retries of many processes. */
@@ -65,31 +65,46 @@
 	readonly onDidChangeState = this._onDidChangeState.event;
 
 	private readonly _copy = new ControlStateStore();
-	private readonly _claims = new PendingClaims();
 	private readonly _probes = new ProbeBook();
 	private readonly _clock: IClock;
 	private readonly _random: () => number;
-	/** Keepers in the order in which this process tries them; it differs between processes, to spread their load. */
-	private readonly _keepers: readonly KeeperEndpoint[];
+	private readonly _choice: ServerChoice;
+	private readonly _staleness = new StalenessWatch();
+	private readonly _claims: ClaimSender;
+	private readonly _reports: ReportSender;
+	private readonly _trial: ReturnTrial;
 
 	private _status: MemberStatus | undefined;
 	private _sentStatus: MemberStatus | undefined;
-	private _connector: FrameConnector | undefined;
-	private _keeperIndex = 0;
-	/** Moves since a keeper last proved to be fresh. */
-	private _movesInVain = 0;
-	/** Time at which the present keeper was chosen, or last proved that its state is as new as the store's. */
-	private _keeperFreshAtMs = 0;
+	private _server: ControlServer;
+	private _link: ControlLink | undefined;
 	private _lastProbeAtMs = -Infinity;
 	private _moveTimer: NodeJS.Timeout | undefined;
-	private _claimTimer: NodeJS.Timeout | undefined;
-	private _isFlushScheduled = false;
 
 	constructor(private readonly _options: ControlPlaneOptions) {
 		super();
+		const { identity, keepers, path, dataCentre } = _options;
 		this._clock = _options.clock ?? monotonicClock;
 		this._random = _options.random ?? Math.random;
-		this._keepers = orderKeepers(_options.identity.processId, _options.keepers);
+		this._choice = new ServerChoice({
+			processId: identity.processId,
+			dataCentre: dataCentre ?? '',
+			keepers,
+			path: path ?? 'keepers',
+		});
+		this._server = this._choice.first();
+		const keeperLink = {
+			isOpen: () => this._server.kind === 'keeper' && this._link?.isOpen === true,
+			send: (message: MemberToKeeperMessage) => {
+				this._send(message);
+			},
+		};
+		this._claims = this._register(new ClaimSender(keeperLink));
+		this._reports = this._register(new ReportSender(keeperLink, this._clock));
+		this._trial = this._register(new ReturnTrial(this._random, (server) => this._createLink(server)));
+		this._trial.onDidOpen((link) => {
+			this._return(link);
+		});
 		const timer = setInterval(() => {
 			this._watch();
 		}, watchIntervalMs);
@@ -97,9 +112,7 @@
 			toDisposable(() => {
 				clearInterval(timer);
 				clearTimeout(this._moveTimer);
-				clearTimeout(this._claimTimer);
-				this._connector?.dispose();
-				this._claims.dispose();
+				this._dropLink();
 			}),
 		);
 	}
@@ -108,9 +121,13 @@
 		return this._copy.state;
 	}
 
-	/** Keeper that the process is subscribed to, or tries to be. */
+	get source(): IStateSource {
+		return this._copy;
+	}
+
+	/** Keeper or entry that the process is subscribed to, or tries to be. */
 	get keeperId(): string {
-		return this._keeper.processId;
+		return this._server.processId;
 	}
 
 	ageMs(): number {
@@ -119,119 +136,135 @@
 
 	setStatus(status: MemberStatus): void {
 		this._status = status;
-		if (this._connector === undefined && this._moveTimer === undefined) {
-			this._connect();
+		if (this._link === undefined && this._moveTimer === undefined) {
+			this._connect(this._server);
 			return;
 		}
 		this._sendStatus();
 	}
 
-	async claim(request: ClaimRequest, timeoutMs: number): Promise<ClaimOutcome> {
-		const { claimNumber, outcome } = this._claims.claim(request);
-		const timer = setTimeout(() => {
-			this._claims.giveUp(claimNumber);
-		}, timeoutMs);
-		this._flushSoon();
-		try {
-			return await outcome;
-		} finally {
-			clearTimeout(timer);
-		}
+	claim(request: ClaimRequest, timeoutMs: number): Promise<ClaimOutcome> {
+		return this._claims.claim(request, timeoutMs);
 	}
 
 	releaseClaim(request: ClaimRequest): void {
 		this._claims.release(request);
-		this._flushSoon();
+	}
+
+	startReports(records: () => Iterable<MemberRecord>): void {
+		this._reports.start(records);
+	}
+
+	reportSoon(): void {
+		this._reports.sendSoon();
 	}
 
 	/** Tells the keepers that this process stops, so that they need not wait for its lease to end. */
 	async leave(): Promise<void> {
-		const connection = this._connector?.connection;
-		if (connection === undefined) {
-			return;
-		}
-		const closed = new Promise<void>((resolve) => {
-			connection.onDidClose(() => {
-				resolve();
-			});
-			setTimeout(resolve, leaveTimeoutMs);
-		});
 		this._send({ kind: 'leave' });
 		this._status = undefined;
-		connection.end();
-		await closed;
+		await this._link?.end(leaveTimeoutMs);
 	}
 
-	private get _keeper(): KeeperEndpoint {
-		const keeper = this._keepers[this._keeperIndex];
-		if (keeper === undefined) {
-			throw new RangeError('A process needs at least one keeper in its settings.');
-		}
-		return keeper;
+	private _createLink(server: ControlServer): ControlLink {
+		const { identity, secret, limits } = this._options;
+		return new ControlLink(server, { identity, secret, limits: limits ?? defaultConnectionLimits });
 	}
 
-	private _connect(): void {
-		const { identity, secret, limits } = this._options;
-		const connector = new FrameConnector(this._keeper.address, {
-			identity,
-			secret,
-			limits: limits ?? defaultConnectionLimits,
+	private _connect(server: ControlServer): void {
+		const link = this._createLink(server);
+		this._use(link);
+		link.onDidOpen(() => {
+			this._open();
 		});
-		this._connector = connector;
-		this._keeperFreshAtMs = this._clock.nowMs();
-		connector.onDidConnect((connection) => {
-			connection.onDidReceive((message) => {
-				this._receive(connection, message);
-			});
-			this._subscribe();
+	}
+
+	private _use(link: ControlLink): void {
+		this._link = link;
+		this._server = link.server;
+		this._staleness.begin(link.server.kind, this._clock.nowMs());
+		link.onDidReceive((message) => {
+			if (this._link === link) {
+				this._receive(message);
+			}
 		});
-		connector.onDidFail((reason) => {
-			if (this._connector === connector) {
+		link.onDidFail((reason) => {
+			if (this._link === link) {
 				this._move(reason);
 			}
 		});
 	}
 
-	/** Leaves the present keeper and tries the next one after a short random wait. */
+	private _open(): void {
+		this._reports.reset();
+		this._subscribe();
+		this._reports.send();
+	}
+
+	/** Leaves the present server and tries the next one after a short random wait. */
 	private _move(reason: string): void {
 		if (this._isDisposed || this._moveTimer !== undefined) {
 			return;
 		}
-		const leftId = this._keeper.processId;
-		const connector = this._connector;
-		this._connector = undefined;
-		connector?.dispose();
-		this._claims.resetSent();
-		this._keeperIndex = (this._keeperIndex + 1) % this._keepers.length;
-		const waitMs = backoffMs(moveBackoff, this._movesInVain, this._random);
-		this._movesInVain += 1;
-		if (this._movesInVain === 1) {
-			this._options.log.info('control.moved', { from: leftId, to: this._keeper.processId, reason });
+		const left = this._server;
+		const movesInVain = this._staleness.noteMove();
+		this._dropLink();
+		this._trial.stop(this._clock.nowMs());
+		this._claims.reset();
+		this._server = this._choice.next(left, this._copy.state.directory, movesInVain);
+		if (movesInVain === 0) {
+			this._logMove(left, reason);
 		}
+		const waitMs = backoffMs(moveBackoff, movesInVain, this._random);
 		this._moveTimer = setTimeout(() => {
 			this._moveTimer = undefined;
 			if (this._status !== undefined) {
-				this._connect();
+				this._connect(this._server);
 			}
 		}, waitMs);
 	}
 
+	private _dropLink(): void {
+		const link = this._link;
+		// First forgotten, as its end would otherwise count as a failure.
+		this._link = undefined;
+		link?.dispose();
+	}
+
+	/** Goes over to a server whose connection is already open. */
+	private _return(link: ControlLink): void {
+		const left = this._server;
+		this._dropLink();
+		this._claims.reset();
+		this._use(link);
+		this._logMove(left, 'It is the server that this process belongs to.');
+		this._open();
+	}
+
+	private _logMove(left: ControlServer, reason: string): void {
+		this._options.log.info('control.moved', {
+			from: left.processId,
+			to: this._server.processId,
+			reason,
+		});
+	}
+
 	private _subscribe(): void {
 		if (this._status === undefined) {
 			return;
 		}
-		const { tables, directory } = this._copy.state;
+		const { tables, directory, historyId } = this._copy;
 		this._sentStatus = this._status;
-		this._claims.resetSent();
+		this._claims.reset();
 		this._send({
 			kind: 'subscribe',
 			revision: tables.revision,
 			epoch: directory.epoch,
-			historyId: this._copy.historyId,
+			historyId: historyId === '' ? undefined : historyId,
 			status: this._status,
 			probe: this._nextProbe(),
 		});
-		this._flushClaims();
+		this._claims.flush();
 	}
 
 	private _watch(): void {
@@ -239,35 +272,32 @@
 		if (nowMs - this._lastProbeAtMs >= renewIntervalMs) {
 			this._renew();
 		}
-		if (this._isKeeperStale(nowMs)) {
-			// A process that was itself stopped reads what has arrived before it judges its keeper.
+		if (this._link !== undefined && this._staleness.isStale(nowMs)) {
+			// A process that was itself stopped reads what has arrived before it judges its server.
 			setImmediate(() => {
-				if (this._isKeeperStale(this._clock.nowMs())) {
-					this._move('The keeper is silent or its state is stale.');
+				if (this._link !== undefined && this._staleness.isStale(this._clock.nowMs())) {
+					this._move('It is silent or its state is stale.');
 				}
 			});
+			return;
 		}
-	}
-
-	private _isKeeperStale(nowMs: number): boolean {
-		if (this._connector === undefined) {
-			return false;
+		if (this._link?.isOpen === true && this._staleness.isProven) {
+			this._trial.consider(this._choice.better(this._server, this._copy.directory), nowMs);
 		}
-		const limitMs = Math.min(maxMoveAfterMs, moveAfterMs * 2 ** Math.max(0, this._movesInVain - 1));
-		return nowMs - this._keeperFreshAtMs > limitMs;
 	}
 
 	private _renew(): void {
-		if (this._connector?.connection === undefined || this._status === undefined) {
+		if (this._link?.isOpen !== true || this._status === undefined) {
 			return;
 		}
 		const { revisionInForce } = this._status;
 		this._send({ kind: 'renewLease', probe: this._nextProbe(), revisionInForce });
+		this._reports.send();
 	}
 
 	private _sendStatus(): void {
 		const status = this._status;
-		if (status === undefined || this._connector?.connection === undefined) {
+		if (status === undefined || this._link?.isOpen !== true) {
 			return;
 		}
 		const isOnlyRevision = this._sentStatus !== undefined && differsOnlyInRevision(this._sentStatus, status);
@@ -285,25 +315,18 @@
 		return this._probes.next(nowMs);
 	}
 
-	private _receive(connection: IConnection, message: Message): void {
-		if (connection !== this._connector?.connection) {
-			return;
-		}
-		match(message as KeeperToMemberMessage)
+	private _receive(message: KeeperToMemberMessage): void {
+		match(message)
 			.with({ kind: 'controlSnapshot' }, { kind: 'controlDelta' }, { kind: 'controlFreshness' }, (state) => {
 				this._takeState(state);
 			})
 			.with({ kind: 'claimAnswers' }, (answers) => {
-				if (this._claims.takeAnswers(answers)) {
-					this._retryClaimsLater();
-				}
+				this._claims.takeAnswers(answers);
 			})
 			.with({ kind: 'keeperLeaving' }, () => {
-				this._move('The keeper stops.');
+				this._move('It stops or has no room.');
 			})
-			.otherwise(() => {
-				this._move(`The keeper sent a message of the unknown kind "${message.kind}".`);
-			});
+			.exhaustive();
 	}
 
 	private _takeState(message: StateMessage): void {
@@ -318,80 +341,33 @@
 			return;
 		}
 		if (this._copy.confirmedAtMs > before) {
-			this._keeperFreshAtMs = Math.max(this._keeperFreshAtMs, this._copy.confirmedAtMs);
-			this._noteFresh();
+			this._staleness.noteFresh(this._copy.confirmedAtMs, this._clock.nowMs());
 		}
 		if (result === 'changed') {
 			this._onDidChangeState.fire(this._copy.state);
 		}
 	}
 
-	private _noteFresh(): void {
-		if (this.ageMs() < moveAfterMs) {
-			this._movesInVain = 0;
-		}
-	}
-
 	private _refuseOtherHistory(message: StateMessage): void {
 		if (message.kind !== 'controlSnapshot') {
 			this._subscribe();
 			return;
 		}
 		this._options.log.error('control.otherHistory', {
-			keeperId: this._keeper.processId,
+			keeperId: this._server.processId,
 			keeperRevision: message.tables.revision,
 			ownRevision: this._copy.state.tables.revision,
 			remedy:
 				'The keepers lost their history. Once it is restored or its loss is accepted, restart this process.',
 		});
-		this._move('The keeper has another history.');
-	}
-
-	private _flushSoon(): void {
-		if (this._isFlushScheduled) {
-			return;
-		}
-		this._isFlushScheduled = true;
-		setImmediate(() => {
-			this._isFlushScheduled = false;
-			this._flushClaims();
-		});
-	}
-
-	private _flushClaims(): void {
-		if (this._connector?.connection === undefined) {
-			return;
-		}
-		const releases = this._claims.takeUnsentReleases();
-		const claims = this._claims.takeUnsentClaims();
-		if (releases.length > 0) {
-			this._send({ kind: 'releaseClaims', claims: releases });
-		}
-		if (claims.length > 0) {
-			this._send({ kind: 'claim', claims });
-		}
-	}
-
-	private _retryClaimsLater(): void {
-		this._claimTimer ??= setTimeout(() => {
-			this._claimTimer = undefined;
-			this._flushClaims();
-		}, claimRetryMs);
+		this._move('It has another history.');
 	}
 
 	private _send(message: MemberToKeeperMessage): void {
-		this._connector?.connection?.send(message);
+		this._link?.send(message);
 	}
 }
 
-function orderKeepers(processId: string, keepers: readonly KeeperEndpoint[]): readonly KeeperEndpoint[] {
-	const order = rendezvousOrder(
-		processId,
-		keepers.map((keeper) => keeper.processId),
-	);
-	return [...keepers].sort((a, b) => order.indexOf(a.processId) - order.indexOf(b.processId));
-}
-
 function differsOnlyInRevision(a: MemberStatus, b: MemberStatus): boolean {
 	const { revisionInForce } = b;
 	return JSON.stringify({ ...a, revisionInForce }) === JSON.stringify(b);
--- /dev/null
+++ b/src/control/node/controlRelay.ts
@@ -0,0 +1,78 @@
+/** Passes the keepers' state on to agents that subscribe to an entry, and tells the keepers of these agents. */
+
+import type { IClock } from '../../base/common/clock.js';
+import { Disposable } from '../../base/common/disposable.js';
+import type { ILogService } from '../../platform/log/common/log.js';
+import type { IConnection } from '../../platform/transport/common/transport.js';
+import type { IControlPlane } from '../common/controlPlane.js';
+import { MemberRegistry } from '../common/memberRegistry.js';
+import { SubscriptionService } from './subscriptionService.js';
+
+/** What a relay is made of. */
+export interface ControlRelayOptions {
+	/** The entry's own subscription; its age is added to by each hop. */
+	readonly control: IControlPlane;
+	readonly ownId: string;
+	readonly clock: IClock;
+	readonly log: ILogService;
+	/** Agents that may subscribe; further ones are told to move on. */
+	readonly maxSubscribers: number;
+}
+
+/**
+ * Serves subscribers from an entry's copy of the state.
+ *
+ * @example
+ * const relay = store.add(new ControlRelay({ control, ownId: 'entry-1', clock, log, maxSubscribers: 500 }));
+ * relay.accept(connection);
+ */
+export class ControlRelay extends Disposable {
+	private readonly _registry = new MemberRegistry();
+	private readonly _subscriptions: SubscriptionService;
+
+	constructor({ control, ownId, clock, log, maxSubscribers }: ControlRelayOptions) {
+		super();
+		this._subscriptions = this._register(
+			new SubscriptionService({
+				ownId,
+				source: control.source,
+				registry: this._registry,
+				clock,
+				log,
+				ageMs: () => control.ageMs(),
+				maxSubscribers,
+				// Agents make no claims, and have no subscribers of their own.
+				takeKeeperMessage: () => false,
+			}),
+		);
+		control.startReports(() => {
+			this._registry.prune(clock.nowMs());
+			return this._registry.recordsOf(ownId);
+		});
+		this._register(
+			control.onDidChangeState(() => {
+				this._subscriptions.publish();
+			}),
+		);
+		this._register(
+			this._subscriptions.onDidChangeMembers(() => {
+				control.reportSoon();
+			}),
+		);
+	}
+
+	/** Agents that subscribe now. */
+	get size(): number {
+		return this._subscriptions.size;
+	}
+
+	/** Takes a connection of an agent that subscribes. */
+	accept(connection: IConnection): void {
+		this._subscriptions.accept(connection);
+	}
+
+	/** Asks every subscriber to move on, because the entry stops. */
+	leave(): void {
+		this._subscriptions.leave();
+	}
+}
--- a/src/keeper/node/subscriptionService.ts
+++ b/src/control/node/subscriptionService.ts
@@ -1,50 +1,61 @@
-/** Serves the processes that subscribe to this keeper: state, freshness, leases and claims. */
+/** Serves the processes that subscribe to this keeper, or to this entry: state, freshness and leases. */
 
-import { match } from 'ts-pattern';
+import { match, P } from 'ts-pattern';
 import type { IClock } from '../../base/common/clock.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { Emitter } from '../../base/common/event.js';
 import type { ILogService } from '../../platform/log/common/log.js';
 import type { IConnection, Message } from '../../platform/transport/common/transport.js';
 import type {
+	ClaimMessage,
 	KeeperLeavingMessage,
+	MemberReportsMessage,
 	MemberStatus,
+	ReleaseClaimsMessage,
 	SubscribeMessage,
 } from '../../protocol/common/keeperMessages.js';
 import { memberToKeeperSchema } from '../../protocol/common/keeperMessageSchemas.js';
-import type { KeeperStateMachine } from '../common/keeperStateMachine.js';
 import type { MemberRecord, MemberRegistry } from '../common/memberRegistry.js';
-import type { ClaimBatcher } from './claimBatcher.js';
-import { Subscriber } from './subscriber.js';
+import { StateFeed } from '../common/stateFeed.js';
+import type { IStateSource } from '../common/stateSource.js';
+import { describeFaults } from '../common/messageFaults.js';
+
+/** Messages of subscribers that only a keeper serves. */
+export type KeeperOnlyMessage = ClaimMessage | ReleaseClaimsMessage | MemberReportsMessage;
 
 /** What the service works on. */
 export interface SubscriptionServices {
-	readonly keeperId: string;
-	readonly machine: KeeperStateMachine;
+	/** The keeper or entry that serves. */
+	readonly ownId: string;
+	readonly source: IStateSource;
 	readonly registry: MemberRegistry;
-	readonly claims: ClaimBatcher;
 	readonly clock: IClock;
 	readonly log: ILogService;
-	/** Greatest possible age of this keeper's state. */
+	/** Greatest possible age of the source's state. */
 	readonly ageMs: () => number;
+	/** Processes that may subscribe; further ones are told to move on. */
+	readonly maxSubscribers: number;
+	/** Takes what only a keeper serves; returns whether the sender may send it. */
+	readonly takeKeeperMessage: (connection: IConnection, message: KeeperOnlyMessage) => boolean;
 }
 
 const leavingMessage: KeeperLeavingMessage = { kind: 'keeperLeaving' };
 
-/** Holds the subscriptions of this keeper. */
+/** Holds the subscriptions of one keeper or entry. */
 export class SubscriptionService extends Disposable {
 	private readonly _onDidChangeMembers = this._register(new Emitter<undefined>());
 	/** Fires when a process has subscribed, left, or changed its status. */
 	readonly onDidChangeMembers = this._onDidChangeMembers.event;
 
-	private readonly _subscribers = new Map<IConnection, Subscriber>();
+	private readonly _feeds = new Map<IConnection, StateFeed>();
+	private readonly _open = new Set<IConnection>();
 	private _isLeaving = false;
 
 	constructor(private readonly _services: SubscriptionServices) {
 		super();
 		this._register(
 			toDisposable(() => {
-				for (const connection of [...this._subscribers.keys()]) {
+				for (const connection of [...this._open]) {
 					connection.dispose();
 				}
 			}),
@@ -53,19 +64,18 @@
 
 	/** Number of processes that are subscribed. */
 	get size(): number {
-		return this._subscribers.size;
+		return this._feeds.size;
 	}
 
-	/** Takes a connection from an entry, an agent or a program that only reads. */
+	/** Takes a connection from a process that may subscribe. */
 	accept(connection: IConnection): void {
-		if (this._isLeaving) {
-			connection.send(leavingMessage);
-		}
+		this._open.add(connection);
 		connection.onDidReceive((message) => {
 			this._receive(connection, message);
 		});
 		connection.onDidClose((reason) => {
-			if (this._subscribers.delete(connection)) {
+			this._open.delete(connection);
+			if (this._feeds.delete(connection)) {
 				const { processId } = connection.peer;
 				this._services.log.info('subscriber.disconnected', { processId, reason });
 			}
@@ -74,15 +84,15 @@
 
 	/** Sends what has changed to every subscriber that does not have it yet. */
 	publish(): void {
-		for (const subscriber of this._subscribers.values()) {
-			subscriber.sendChanges();
+		for (const feed of this._feeds.values()) {
+			feed.sendChanges();
 		}
 	}
 
-	/** Asks every subscriber to move to another keeper. */
+	/** Asks every subscriber to move on. */
 	leave(): void {
 		this._isLeaving = true;
-		for (const connection of this._subscribers.keys()) {
+		for (const connection of this._feeds.keys()) {
 			connection.send(leavingMessage);
 		}
 	}
@@ -90,13 +100,7 @@
 	private _receive(connection: IConnection, received: Message): void {
 		const parsed = memberToKeeperSchema.safeParse(received);
 		if (!parsed.success) {
-			const { processId } = connection.peer;
-			const { kind } = received;
-			const reason = parsed.error.issues
-				.map((issue) => `${issue.path.join('.')}: ${issue.message}`)
-				.join('; ');
-			this._services.log.warn('subscriber.malformedMessage', { processId, kind, reason });
-			connection.dispose();
+			this._refuse(connection, received, describeFaults(parsed.error));
 			return;
 		}
 		match(parsed.data)
@@ -112,15 +116,20 @@
 			.with({ kind: 'leave' }, () => {
 				this._leave(connection);
 			})
-			.with({ kind: 'claim' }, ({ claims }) => {
-				this._services.claims.claim(connection, claims);
-			})
-			.with({ kind: 'releaseClaims' }, ({ claims }) => {
-				this._services.claims.release(connection, claims);
+			.with({ kind: P.union('claim', 'releaseClaims', 'memberReports') }, (message) => {
+				if (!this._services.takeKeeperMessage(connection, message)) {
+					this._refuse(connection, message, 'The sender may not send it here.');
+				}
 			})
 			.exhaustive();
 	}
 
+	private _refuse(connection: IConnection, { kind }: Message, reason: string): void {
+		const { processId } = connection.peer;
+		this._services.log.warn('subscriber.malformedMessage', { processId, kind, reason });
+		connection.dispose();
+	}
+
 	/** Renews a lease whose status is as it was, but perhaps for the revision. */
 	private _renewUnchanged(connection: IConnection, probe: number, revisionInForce: number): void {
 		const status = this._recordOf(connection)?.status;
@@ -131,37 +140,44 @@
 	}
 
 	private _subscribe(connection: IConnection, message: SubscribeMessage): void {
-		const { machine, ageMs, log, clock, registry, keeperId } = this._services;
-		const subscriber = new Subscriber(connection, machine, ageMs, message);
-		this._subscribers.set(connection, subscriber);
+		const { source, ageMs, log, clock, registry, ownId, maxSubscribers } = this._services;
+		const hasRoom = this._feeds.has(connection) || this._feeds.size < maxSubscribers;
+		if (this._isLeaving || !hasRoom) {
+			connection.send(leavingMessage);
+			return;
+		}
+		const send = connection.send.bind(connection);
+		const feed = new StateFeed(source, ageMs, send, message);
+		this._feeds.set(connection, feed);
 		const nowMs = clock.nowMs();
-		const { processId, role, incarnation } = connection.peer;
+		const { processId, incarnation } = connection.peer;
+		const role = connection.peer.role === 'subscriber' ? 'agent' : connection.peer.role;
 		registry.put({
 			processId,
 			role,
 			incarnation,
-			keeperId,
+			keeperId: ownId,
 			subscribedAtMs: nowMs,
 			heardAtMs: nowMs,
 			hasLeft: false,
 			status: message.status,
 		});
 		log.info('subscriber.subscribed', { processId, role, revision: message.revision });
-		subscriber.sendChanges();
-		subscriber.sendFreshness();
+		feed.sendChanges();
+		feed.sendFreshness();
 		this._onDidChangeMembers.fire(undefined);
 	}
 
 	private _renew(connection: IConnection, probe: number, status: MemberStatus): void {
 		const record = this._recordOf(connection);
-		const subscriber = this._subscribers.get(connection);
-		if (record === undefined || subscriber === undefined) {
+		const feed = this._feeds.get(connection);
+		if (record === undefined || feed === undefined) {
 			return;
 		}
 		this._services.registry.put({ ...record, heardAtMs: this._services.clock.nowMs(), status });
-		subscriber.noteProbe(probe);
-		subscriber.sendChanges();
-		subscriber.sendFreshness();
+		feed.noteProbe(probe);
+		feed.sendChanges();
+		feed.sendFreshness();
 		if (status !== record.status) {
 			this._onDidChangeMembers.fire(undefined);
 		}
@@ -180,7 +196,7 @@
 	/** The record of a connection's process, unless a later run of the process has taken its place. */
 	private _recordOf(connection: IConnection): MemberRecord | undefined {
 		const { processId, incarnation } = connection.peer;
-		const record = this._services.registry.get(this._services.keeperId, processId);
+		const record = this._services.registry.get(this._services.ownId, processId);
 		return record?.incarnation === incarnation ? record : undefined;
 	}
 }
--- a/src/declarations/common/tableSchemas.ts
+++ b/src/declarations/common/tableSchemas.ts
@@ -2,7 +2,8 @@
 
 import { z } from 'zod';
 import { durationMsSchema, nameSchema } from '../../platform/settings/common/settingsSchema.js';
-import type { TableEdit } from './tables.js';
+import { tableNames } from './tableEdits.js';
+import type { TableDelta, TableEdit, Tables } from './tables.js';
 
 const countSchema = z.number().int().positive().max(1_000_000_000);
 const shareSchema = z.number().min(0).max(1);
@@ -81,3 +82,36 @@
 		z.strictObject({ action: z.literal('put'), table: z.literal('drains'), row: rowSchemas.drains }),
 	]),
 ]);
+
+/** Rows as processes send them to each other. Loose, so that a process takes what a newer one adds. */
+const sentRowSchemas = {
+	routes: z.looseObject(rowSchemas.routes.shape),
+	pools: z.looseObject(rowSchemas.pools.shape),
+	teams: z.looseObject(rowSchemas.teams.shape),
+	drains: z.looseObject(rowSchemas.drains.shape),
+};
+
+const revisionSchema = z.number().int().nonnegative();
+
+/** Schema of all tables at one revision, as processes send them to each other. */
+export const tablesSchema: z.ZodType<Tables> = z.object({
+	revision: revisionSchema,
+	routes: z.array(sentRowSchemas.routes),
+	pools: z.array(sentRowSchemas.pools),
+	teams: z.array(sentRowSchemas.teams),
+	drains: z.array(sentRowSchemas.drains),
+});
+
+/** Schema of an accepted change, as processes send it to each other. */
+export const tableDeltaSchema: z.ZodType<TableDelta> = z.object({
+	revision: revisionSchema,
+	edits: z.array(
+		z.union([
+			z.object({ action: z.literal('delete'), table: z.enum(tableNames), name: nameSchema }),
+			z.object({ action: z.literal('put'), table: z.literal('routes'), row: sentRowSchemas.routes }),
+			z.object({ action: z.literal('put'), table: z.literal('pools'), row: sentRowSchemas.pools }),
+			z.object({ action: z.literal('put'), table: z.literal('teams'), row: sentRowSchemas.teams }),
+			z.object({ action: z.literal('put'), table: z.literal('drains'), row: sentRowSchemas.drains }),
+		]),
+	),
+});
--- a/src/entry/common/entrySettings.ts
+++ b/src/entry/common/entrySettings.ts
@@ -43,6 +43,12 @@
 	keyRetentionMs: durationMsSchema
 		.default(600_000)
 		.describe('Time for which a finished submission is remembered by its idempotency key.'),
+	maxRelayedAgents: z
+		.number()
+		.int()
+		.nonnegative()
+		.default(500)
+		.describe('Agents that may subscribe to the control state by this entry.'),
 	operatorToken: z
 		.string()
 		.min(16)
--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -9,6 +9,7 @@
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { describeError } from '../../base/common/errors.js';
 import type { ControlState, IControlPlane } from '../../control/common/controlPlane.js';
+import { ControlRelay } from '../../control/node/controlRelay.js';
 import type { IDaemon } from '../../platform/daemon/node/daemon.js';
 import type { ILogService } from '../../platform/log/common/log.js';
 import { nullMetricsService, type IMetricsService } from '../../platform/metrics/common/metrics.js';
@@ -56,6 +57,7 @@
 	private readonly _api: ReaderApi;
 	private readonly _loop: TickLoop;
 	private readonly _outcomes: OutcomeBook;
+	private readonly _relay: ControlRelay;
 	private _isDraining = false;
 	/** Kept, because a server that is closing has no address any more. */
 	private readonly _httpAddress: string;
@@ -74,6 +76,18 @@
 		this._httpAddress = formatAddress(bound.address, bound.port);
 		this._register(_control);
 		this._register(_hub);
+		this._relay = this._register(
+			new ControlRelay({
+				control: _control,
+				ownId: settings.processId,
+				clock: monotonicClock,
+				log: _options.log,
+				maxSubscribers: settings.maxRelayedAgents,
+			}),
+		);
+		_hub.serveSubscribers((connection) => {
+			this._relay.accept(connection);
+		});
 		this._core = new EntryCore(
 			{ ...settings, incarnation: _identity.incarnation },
 			createPolicy(settings.policy),
@@ -172,6 +186,7 @@
 	async drain(): Promise<void> {
 		this._isDraining = true;
 		this._publishStatus();
+		this._relay.leave();
 		this._loop.push({ kind: 'drain' });
 		const untilMs = performance.now() + drainNoticeMs;
 		const { jobs } = this._core.tables;
@@ -277,6 +292,7 @@
 			epoch,
 			openJobs: jobs.size,
 			workers: workers.size,
+			relayedAgents: this._relay.size,
 			pools: [...pools.values()].map((pool) => ({
 				name: pool.name,
 				home: pool.home.kind,
--- a/src/entry/node/peerHub.ts
+++ b/src/entry/node/peerHub.ts
@@ -36,6 +36,7 @@
 	private readonly _sessions = new Map<number, IConnection>();
 	private readonly _dialled = new Map<string, DialledEntry>();
 	private readonly _connectors = this._register(new DisposableStore());
+	private _serveSubscriber: ((connection: IConnection) => void) | undefined;
 	private _lastSessionId = 0;
 	private _refusedFrames = 0;
 
@@ -85,6 +86,11 @@
 		}
 	}
 
+	/** Sets who takes agents that subscribe to the control state. Those that come earlier connect again. */
+	serveSubscribers(serve: (connection: IConnection) => void): void {
+		this._serveSubscriber = serve;
+	}
+
 	/** Connects to the entries of the directory. Of two entries, the one with the lesser name dials. */
 	follow(entries: readonly EntryMember[]): void {
 		const { processId } = this._options.identity;
@@ -119,6 +125,10 @@
 
 	private _open(connection: IConnection): void {
 		const { peer } = connection;
+		if (peer.role === 'subscriber' && this._serveSubscriber !== undefined) {
+			this._serveSubscriber(connection);
+			return;
+		}
 		if (peer.role !== 'agent' && peer.role !== 'entry') {
 			this._log.warn('peer.refused', { reason: `The role "${peer.role}" has no business with an entry.` });
 			connection.dispose();
--- a/src/entry/test/fakeControlPlane.ts
+++ b/src/entry/test/fakeControlPlane.ts
@@ -2,6 +2,7 @@
 
 import { Emitter } from '../../base/common/event.js';
 import type { ControlState, IControlPlane } from '../../control/common/controlPlane.js';
+import type { IStateSource } from '../../control/common/stateSource.js';
 import { emptyTables, type Tables } from '../../declarations/common/tables.js';
 import type {
 	ClaimOutcome,
@@ -75,6 +76,19 @@
 		this.state = { tables, directory: { epoch: 0, entries: [] } };
 	}
 
+	get source(): IStateSource {
+		const { tables, directory } = this.state;
+		return { historyId: 'fake', tables, directory, deltasSince: () => undefined };
+	}
+
+	startReports(): void {
+		// Nobody asks for them.
+	}
+
+	reportSoon(): void {
+		// Nobody asks for them.
+	}
+
 	ageMs(): number {
 		return this.age;
 	}
--- a/src/keeper/common/directoryPlan.ts
+++ b/src/keeper/common/directoryPlan.ts
@@ -2,7 +2,7 @@
 
 import type { DrainRow } from '../../declarations/common/tables.js';
 import type { EntryDirectory, EntryMember } from '../../protocol/common/keeperMessages.js';
-import type { KnownProcess } from './memberRegistry.js';
+import type { KnownProcess } from '../../control/common/memberRegistry.js';
 
 /** What the decision depends on. */
 export interface DirectoryInputs {
--- a/src/keeper/common/systemStatus.ts
+++ b/src/keeper/common/systemStatus.ts
@@ -3,7 +3,7 @@
 import type { ProcessStatus, SystemStatus } from '../../protocol/common/operatorApi.js';
 import type { ReplicaStatus } from '../../replication/common/replicatedLog.js';
 import type { KeeperStateMachine } from './keeperStateMachine.js';
-import { memberMemoryMs, type KnownProcess } from './memberRegistry.js';
+import { memberMemoryMs, type KnownProcess } from '../../control/common/memberRegistry.js';
 
 /** A keeper that does not report about its subscribers. */
 export interface SilentKeeper {
--- a/src/keeper/common/test/membership.test.ts
+++ b/src/keeper/common/test/membership.test.ts
@@ -1,8 +1,13 @@
 import test from 'ava';
 import type { EntryMember, MemberStatus } from '../../../protocol/common/keeperMessages.js';
 import { planDirectory } from '../directoryPlan.js';
-import { memberMemoryMs, MemberRegistry, type KnownProcess, type MemberRecord } from '../memberRegistry.js';
-import { heardWithinMs, ReportWriter } from '../reportWriter.js';
+import {
+	memberMemoryMs,
+	MemberRegistry,
+	type KnownProcess,
+	type MemberRecord,
+} from '../../../control/common/memberRegistry.js';
+import { heardWithinMs, ReportWriter } from '../../../control/common/reportWriter.js';
 
 const leaseMs = 1500;
 const status: MemberStatus = {
@@ -116,9 +121,10 @@
 	const writer = new ReportWriter();
 	// The clocks of the two keepers have nothing in common.
 	const offsetMs = 1_000_000;
+	const source = { keeperId: 'keeper-1', openedAtMs: offsetMs, reported: new Set<string>() };
 	const exchange = (nowMs: number) => {
 		const report = writer.write(own.recordsOf('keeper-1'), nowMs);
-		other.takeReport('keeper-1', report, nowMs + offsetMs);
+		other.takeReport(source, report, nowMs + offsetMs);
 		return report;
 	};
 	own.put(record({ heardAtMs: 0 }));
@@ -133,3 +139,40 @@
 	own.put({ ...own.get('keeper-1', 'entry-1')!, status: { ...status, revisionInForce: 7 } });
 	t.is(exchange(3000).members[0]?.status.revisionInForce, 7);
 });
+
+test('a report keeps alive only who was reported on the same connection', (t) => {
+	const registry = new MemberRegistry();
+	const before = { keeperId: 'keeper-1', openedAtMs: 0, reported: new Set<string>() };
+	const writer = new ReportWriter();
+	registry.takeReport(before, writer.write([record({ role: 'agent', processId: 'agent-1' })], 0), 0);
+	// The keeper is started anew, and its subscriber is gone.
+	const after = { keeperId: 'keeper-1', openedAtMs: 1000, reported: new Set<string>() };
+	const writerAfter = new ReportWriter();
+	for (let nowMs = 1000; nowMs <= 4000; nowMs += 200) {
+		registry.takeReport(after, writerAfter.write([record({ heardAtMs: nowMs })], nowMs), nowMs);
+	}
+	const live = registry.processes(4000, leaseMs).filter((process) => process.isLive);
+	t.deepEqual(
+		live.map((process) => process.processId),
+		['entry-1'],
+	);
+});
+
+test('what an entry brings along to another keeper counts, unless it no longer hears the process', (t) => {
+	const registry = new MemberRegistry();
+	const agent = record({ role: 'agent', processId: 'agent-1', keeperId: 'entry-1', status });
+	const sourceOf = (keeperId: string, openedAtMs: number) => ({
+		keeperId,
+		relayId: 'entry-1',
+		openedAtMs,
+		reported: new Set<string>(),
+	});
+	registry.takeReport(sourceOf('keeper-1', 0), new ReportWriter().write([agent], 0), 10);
+	const newer = { ...agent, heardAtMs: 1000, status: { ...status, revisionInForce: 7 } };
+	registry.takeReport(sourceOf('keeper-2', 1000), new ReportWriter().write([newer], 1000), 1000);
+	t.is(registry.processes(1000, leaseMs)[0]?.status.revisionInForce, 7);
+	const moved = { ...agent, keeperId: 'keeper-3', subscribedAtMs: 1500, heardAtMs: 1500 };
+	registry.put({ ...moved, status: { ...status, revisionInForce: 8 } });
+	registry.takeReport(sourceOf('keeper-1', 2000), new ReportWriter().write([newer], 2000), 2000);
+	t.is(registry.processes(2000, leaseMs)[0]?.status.revisionInForce, 8, 'the entry lost it to a keeper');
+});
--- a/src/keeper/node/keeperDaemon.ts
+++ b/src/keeper/node/keeperDaemon.ts
@@ -3,6 +3,9 @@
 import { monotonicClock, type IClock } from '../../base/common/clock.js';
 import { Disposable } from '../../base/common/disposable.js';
 import { Emitter } from '../../base/common/event.js';
+import { MemberRegistry } from '../../control/common/memberRegistry.js';
+import type { IStateSource } from '../../control/common/stateSource.js';
+import { SubscriptionService, type KeeperOnlyMessage } from '../../control/node/subscriptionService.js';
 import type { IDaemon } from '../../platform/daemon/node/daemon.js';
 import type { ILogService } from '../../platform/log/common/log.js';
 import {
@@ -17,13 +20,12 @@
 import type { IReplicatedLog } from '../../replication/common/replicatedLog.js';
 import type { KeeperSettings } from '../common/keeperSettings.js';
 import { KeeperStateMachine } from '../common/keeperStateMachine.js';
-import { MemberRegistry } from '../common/memberRegistry.js';
 import { describeSystem } from '../common/systemStatus.js';
 import { ClaimBatcher } from './claimBatcher.js';
 import { LeaderDuties } from './leaderDuties.js';
 import { OperatorServer } from './operatorServer.js';
+import { RelayReports } from './relayReports.js';
 import { ReportExchange } from './reportExchange.js';
-import { SubscriptionService } from './subscriptionService.js';
 
 /** A replicated log that also takes connections from the other keepers. */
 export interface IKeeperLog extends IReplicatedLog {
@@ -65,6 +67,7 @@
 	private readonly _clock: IClock;
 	private readonly _claims: ClaimBatcher;
 	private readonly _subscriptions: SubscriptionService;
+	private readonly _relayReports: RelayReports;
 	private readonly _reports: ReportExchange;
 	private _operators: OperatorServer | undefined;
 	private _ownStatus: MemberStatus;
@@ -86,15 +89,17 @@
 		this._register(_listener);
 		this._register(_log);
 		this._claims = this._register(new ClaimBatcher(_log, events));
+		this._relayReports = this._register(new RelayReports(settings.processId, this._registry, clock));
 		this._subscriptions = this._register(
 			new SubscriptionService({
-				keeperId: settings.processId,
-				machine: _machine,
+				ownId: settings.processId,
+				source: createStateSource(_machine),
 				registry: this._registry,
-				claims: this._claims,
 				clock,
 				log: events,
 				ageMs: () => _log.ageMs(),
+				maxSubscribers: Infinity,
+				takeKeeperMessage: (connection, message) => this._takeKeeperMessage(connection, message),
 			}),
 		);
 		this._reports = this._register(
@@ -216,6 +221,11 @@
 				duties.tick();
 			}),
 		);
+		this._register(
+			this._relayReports.onDidReceive(() => {
+				this._reports.reportSoon();
+			}),
+		);
 		this._register(
 			this._reports.onDidReceive(() => {
 				duties.tick();
@@ -257,6 +267,19 @@
 		this._subscriptions.accept(connection);
 	}
 
+	/** Takes claims, and reports of entries about the agents that subscribe to them. */
+	private _takeKeeperMessage(connection: IConnection, message: KeeperOnlyMessage): boolean {
+		if (message.kind === 'claim') {
+			this._claims.claim(connection, message.claims);
+			return true;
+		}
+		if (message.kind === 'releaseClaims') {
+			this._claims.release(connection, message.claims);
+			return true;
+		}
+		return this._relayReports.take(connection, message);
+	}
+
 	private _publish(): void {
 		this._subscriptions.publish();
 		if (this._ownStatus.revisionInForce !== this._machine.tables.tables.revision) {
@@ -311,3 +334,19 @@
 	const { dataCentre, rack } = settings;
 	return { dataCentre, rack, isDraining: false, revisionInForce };
 }
+
+/** The replicated state, as subscribers are served from it. */
+function createStateSource(machine: KeeperStateMachine): IStateSource {
+	return {
+		get historyId() {
+			return machine.historyId;
+		},
+		get tables() {
+			return machine.tables.tables;
+		},
+		get directory() {
+			return machine.directory;
+		},
+		deltasSince: (revision, maxDeltas) => machine.tables.deltasSince(revision, maxDeltas),
+	};
+}
--- a/src/keeper/node/leaderDuties.ts
+++ b/src/keeper/node/leaderDuties.ts
@@ -9,7 +9,7 @@
 import { planDirectory } from '../common/directoryPlan.js';
 import { encodeValue, type KeeperCommand } from '../common/keeperCommands.js';
 import type { KeeperStateMachine } from '../common/keeperStateMachine.js';
-import type { MemberRegistry } from '../common/memberRegistry.js';
+import type { MemberRegistry } from '../../control/common/memberRegistry.js';
 
 const tickIntervalMs = 100;
 
--- /dev/null
+++ b/src/keeper/node/relayReports.ts
@@ -0,0 +1,53 @@
+/** Takes the reports of entries about the agents that subscribe to them. */
+
+import type { IClock } from '../../base/common/clock.js';
+import { Disposable } from '../../base/common/disposable.js';
+import { Emitter } from '../../base/common/event.js';
+import type { MemberRegistry, ReportSource } from '../../control/common/memberRegistry.js';
+import type { IConnection } from '../../platform/transport/common/transport.js';
+import type { MemberReportsMessage } from '../../protocol/common/keeperMessages.js';
+
+/** Puts the agents of entries into the table of processes. */
+export class RelayReports extends Disposable {
+	private readonly _onDidReceive = this._register(new Emitter<undefined>());
+	/** Fires when an entry has reported a change. */
+	readonly onDidReceive = this._onDidReceive.event;
+
+	private readonly _sources = new WeakMap<IConnection, ReportSource>();
+
+	constructor(
+		private readonly _keeperId: string,
+		private readonly _registry: MemberRegistry,
+		private readonly _clock: IClock,
+	) {
+		super();
+	}
+
+	/** Takes a report. Returns false when the sender is no entry, or reports of others than agents. */
+	take(connection: IConnection, report: MemberReportsMessage): boolean {
+		// An entry that could speak for other entries could put itself into the directory in their place.
+		if (connection.peer.role !== 'entry' || report.members.some(({ role }) => role !== 'agent')) {
+			return false;
+		}
+		this._registry.takeReport(this._sourceOf(connection), report, this._clock.nowMs());
+		if (report.members.length > 0) {
+			this._onDidReceive.fire(undefined);
+		}
+		return true;
+	}
+
+	private _sourceOf(connection: IConnection): ReportSource {
+		const present = this._sources.get(connection);
+		if (present !== undefined) {
+			return present;
+		}
+		const source: ReportSource = {
+			keeperId: this._keeperId,
+			relayId: connection.peer.processId,
+			openedAtMs: this._clock.nowMs(),
+			reported: new Set(),
+		};
+		this._sources.set(connection, source);
+		return source;
+	}
+}
--- a/src/keeper/node/reportExchange.ts
+++ b/src/keeper/node/reportExchange.ts
@@ -8,8 +8,8 @@
 import { FrameConnector } from '../../platform/transport/node/frameConnector.js';
 import { memberReportsSchema } from '../../protocol/common/keeperMessageSchemas.js';
 import type { IReplicatedLog } from '../../replication/common/replicatedLog.js';
-import type { MemberRegistry } from '../common/memberRegistry.js';
-import { ReportWriter } from '../common/reportWriter.js';
+import type { MemberRegistry, ReportSource } from '../../control/common/memberRegistry.js';
+import { ReportWriter } from '../../control/common/reportWriter.js';
 import type { SilentKeeper } from '../common/systemStatus.js';
 
 /** Time between reports when nothing changes. */
@@ -71,8 +71,13 @@
 
 	/** Takes a connection on which another keeper reports. */
 	accept(connection: IConnection): void {
+		const source: ReportSource = {
+			keeperId: connection.peer.processId,
+			openedAtMs: this._services.clock.nowMs(),
+			reported: new Set(),
+		};
 		connection.onDidReceive((message) => {
-			this._receive(connection, message);
+			this._receive(connection, source, message);
 		});
 	}
 
@@ -139,7 +144,7 @@
 		connection.send(peer.writer.write(registry.recordsOf(keeperId), clock.nowMs()));
 	}
 
-	private _receive(connection: IConnection, message: Message): void {
+	private _receive(connection: IConnection, source: ReportSource, message: Message): void {
 		const parsed = memberReportsSchema.safeParse(message);
 		if (!parsed.success) {
 			connection.dispose();
@@ -149,7 +154,7 @@
 		const report = parsed.data;
 		const nowMs = clock.nowMs();
 		this._lastReportMs.set(connection.peer.processId, nowMs);
-		registry.takeReport(connection.peer.processId, report, nowMs);
+		registry.takeReport(source, report, nowMs);
 		if (report.members.length > 0) {
 			this._onDidReceive.fire(undefined);
 		}
--- /dev/null
+++ b/src/keeper/node/test/relay.test.ts
@@ -0,0 +1,251 @@
+import test from 'ava';
+import { waitFor } from '../../../base/common/async.js';
+import { ControlPlaneClient } from '../../../control/node/controlPlaneClient.js';
+import { nullLogService } from '../../../platform/log/common/log.js';
+import { defaultConnectionLimits } from '../../../platform/transport/common/transport.js';
+import { FrameConnector } from '../../../platform/transport/node/frameConnector.js';
+import type { ProcessStatus } from '../../../protocol/common/operatorApi.js';
+import { drainChange, KeeperHarness, memberStatus, secret, type TestKeeper } from './keeperHarness.js';
+import { startRelayedAgent, TestRelay } from './relayHarness.js';
+
+/** Age that no state may reach under a single fault. */
+const ageLimitMs = 3000;
+
+async function withHarness(run: (harness: KeeperHarness) => Promise<void>): Promise<void> {
+	const harness = new KeeperHarness();
+	try {
+		await run(harness);
+	} finally {
+		harness.dispose();
+	}
+}
+
+async function startKeepers(harness: KeeperHarness, count: number): Promise<TestKeeper[]> {
+	const keepers: TestKeeper[] = [];
+	for (let index = 1; index <= count; index += 1) {
+		keepers.push(await harness.startKeeper(`keeper-${index}`));
+	}
+	return keepers;
+}
+
+async function waitBehind(client: ControlPlaneClient, names: readonly string[]): Promise<void> {
+	await waitFor(
+		`the agent is behind one of ${names.join(', ')}`,
+		6000,
+		() => names.includes(client.keeperId) && client.ageMs() < 1000,
+	);
+}
+
+function statusOf(keeper: TestKeeper, processId: string): ProcessStatus | undefined {
+	return keeper.daemon.status().processes.find((process) => process.processId === processId);
+}
+
+/** Returns the greatest age that the client shows until a time is over. */
+async function watchAge(client: ControlPlaneClient, forMs: number): Promise<number> {
+	const untilMs = performance.now() + forMs;
+	let oldestMs = 0;
+	await waitFor('the time is over', forMs + 1000, () => {
+		oldestMs = Math.max(oldestMs, client.ageMs());
+		return performance.now() > untilMs;
+	});
+	return oldestMs;
+}
+
+test('an agent behind an entry gets changes, and every keeper knows its revision in force', async (t) => {
+	await withHarness(async (harness) => {
+		const keepers = await startKeepers(harness, 2);
+		await TestRelay.start(harness, 'entry-1', keepers);
+		const agent = startRelayedAgent(harness, 'agent-1', keepers);
+		await waitBehind(agent, ['entry-1']);
+		await harness.change(keepers[0]!, drainChange(0, 'agent-7'));
+		await waitFor('the change arrives', 3000, () => agent.state.tables.revision === 1);
+		for (const keeper of keepers) {
+			await waitFor(
+				'the keeper knows the revision in force',
+				2000,
+				() => statusOf(keeper, 'agent-1')?.revisionInForce === 1,
+			);
+			t.true(statusOf(keeper, 'agent-1')?.isLive);
+		}
+	});
+});
+
+test('each hop adds its own age, so an agent behind a cut-off keeper knows that its state is old', async (t) => {
+	await withHarness(async (harness) => {
+		const keepers = await startKeepers(harness, 1);
+		await TestRelay.start(harness, 'entry-1', keepers);
+		const agent = startRelayedAgent(harness, 'agent-1', keepers);
+		await waitBehind(agent, ['entry-1']);
+		keepers[0]!.log.cutOff();
+		const cutAtMs = performance.now();
+		let leastSlackMs = Infinity;
+		await waitFor('some time is over', 5000, () => {
+			const sinceMs = performance.now() - cutAtMs;
+			leastSlackMs = Math.min(leastSlackMs, agent.ageMs() - sinceMs);
+			return sinceMs > 2500;
+		});
+		t.true(leastSlackMs >= 0, `the agent took its state for ${-leastSlackMs} ms younger than it was`);
+	});
+});
+
+test('an agent whose entry is gone has its next change by another before its state is 3 s old', async (t) => {
+	await withHarness(async (harness) => {
+		const keepers = await startKeepers(harness, 2);
+		const relays = [
+			await TestRelay.start(harness, 'entry-1', keepers),
+			await TestRelay.start(harness, 'entry-2', keepers),
+		];
+		const agent = startRelayedAgent(harness, 'agent-1', keepers);
+		await waitBehind(agent, ['entry-1', 'entry-2']);
+		const lost = relays.find((relay) => relay.processId === agent.keeperId)!;
+		lost.dispose();
+		await harness.change(keepers[0]!, drainChange(0, 'agent-7'));
+		let oldestMs = 0;
+		await waitFor('the change arrives', 4000, () => {
+			oldestMs = Math.max(oldestMs, agent.ageMs());
+			return agent.state.tables.revision === 1;
+		});
+		t.true(oldestMs < ageLimitMs, `the state became ${oldestMs} ms old`);
+		t.not(agent.keeperId, lost.processId);
+	});
+});
+
+test('an agent stays behind an entry that itself moves to another keeper', async (t) => {
+	await withHarness(async (harness) => {
+		const keepers = await startKeepers(harness, 2);
+		const { client } = await TestRelay.start(harness, 'entry-1', keepers);
+		const agent = startRelayedAgent(harness, 'agent-1', keepers);
+		await waitBehind(agent, ['entry-1']);
+		const cut = keepers.find((keeper) => keeper.processId === client.keeperId)!;
+		const other = keepers.find((keeper) => keeper !== cut)!;
+		cut.log.cutOff();
+		const oldestMs = await watchAge(agent, 2500);
+		t.is(client.keeperId, other.processId);
+		t.is(agent.keeperId, 'entry-1');
+		t.true(oldestMs < ageLimitMs, `the state became ${oldestMs} ms old`);
+		await harness.change(other, drainChange(0, 'agent-7'));
+		await waitFor(
+			'the keeper that the entry moved to knows the revision in force',
+			2000,
+			() => statusOf(other, 'agent-1')?.revisionInForce === 1,
+		);
+	});
+});
+
+test('a process that is far behind gets a snapshot by an entry, and deltas from then on', async (t) => {
+	await withHarness(async (harness) => {
+		const keepers = await startKeepers(harness, 1);
+		const relay = await TestRelay.start(harness, 'entry-1', keepers);
+		const changes = 250;
+		for (let revision = 0; revision < changes; revision += 1) {
+			await harness.change(keepers[0]!, drainChange(revision, `agent-${revision}`));
+		}
+		await waitFor('the entry has them', 3000, () => relay.client.state.tables.revision === changes);
+		const late = harness.add(
+			new ControlPlaneClient({
+				keepers: [{ processId: 'entry-1', address: relay.address }],
+				identity: { role: 'agent', processId: 'agent-1', incarnation: '1' },
+				secret,
+				log: nullLogService,
+			}),
+		);
+		late.setStatus(memberStatus());
+		await waitFor('the snapshot arrives', 3000, () => late.state.tables.revision === changes);
+		t.is(late.state.tables.drains.length, changes);
+		await harness.change(keepers[0]!, drainChange(changes, 'agent-x'));
+		await waitFor('the next change arrives', 3000, () => late.state.tables.revision === changes + 1);
+		t.deepEqual(late.state.tables, relay.client.state.tables);
+	});
+});
+
+test('agents that an entry has no room for go on to a keeper', async (t) => {
+	await withHarness(async (harness) => {
+		const keepers = await startKeepers(harness, 1);
+		const { relay } = await TestRelay.start(harness, 'entry-1', keepers, 1);
+		const agents = ['agent-1', 'agent-2'].map((name) => startRelayedAgent(harness, name, keepers));
+		await waitFor('the entry serves one agent', 5000, () => relay.size === 1);
+		await watchAge(agents[0]!, 2000);
+		t.is(relay.size, 1);
+		t.deepEqual(agents.map((agent) => agent.keeperId).sort(), ['entry-1', 'keeper-1']);
+		t.true(agents.every((agent) => agent.ageMs() < ageLimitMs));
+	});
+});
+
+test('agents move on when their entry drains, without waiting for their state to grow old', async (t) => {
+	await withHarness(async (harness) => {
+		const keepers = await startKeepers(harness, 1);
+		const { relay } = await TestRelay.start(harness, 'entry-1', keepers);
+		const agent = startRelayedAgent(harness, 'agent-1', keepers);
+		await waitBehind(agent, ['entry-1']);
+		relay.leave();
+		await waitFor('the agent is with the keeper', 500, () => agent.keeperId === 'keeper-1');
+		t.true((await watchAge(agent, 500)) < 700);
+	});
+});
+
+test('the lease of an agent that dies behind an entry lapses at every keeper', async (t) => {
+	await withHarness(async (harness) => {
+		const keepers = await startKeepers(harness, 2);
+		await TestRelay.start(harness, 'entry-1', keepers);
+		const agent = startRelayedAgent(harness, 'agent-1', keepers);
+		const witness = startRelayedAgent(harness, 'agent-2', keepers);
+		await waitBehind(agent, ['entry-1']);
+		await waitBehind(witness, ['entry-1']);
+		for (const keeper of keepers) {
+			await waitFor('it is known', 2000, () => statusOf(keeper, 'agent-1')?.isLive === true);
+		}
+		agent.dispose();
+		for (const keeper of keepers) {
+			await waitFor('its lease has lapsed', 3500, () => statusOf(keeper, 'agent-1')?.isLive !== true);
+			t.true(statusOf(keeper, 'agent-2')?.isLive);
+		}
+		for (const keeper of keepers) {
+			await waitFor('it is forgotten', 8000, () => statusOf(keeper, 'agent-1') === undefined);
+		}
+	});
+});
+
+test('an entry can speak for agents only, and an agent for nobody', async (t) => {
+	await withHarness(async (harness) => {
+		const keeper = await harness.startKeeper('keeper-1');
+		const forged = {
+			processId: 'entry-9',
+			role: 'entry',
+			incarnation: '1',
+			subscribedAgoMs: 0,
+			heardAgoMs: 0,
+			hasLeft: false,
+			status: memberStatus({ peerAddress: '127.0.0.1:9' }),
+		} as const;
+		const senders = [
+			{ role: 'entry', member: forged },
+			{ role: 'agent', member: { ...forged, role: 'agent' } },
+		] as const;
+		for (const { role, member } of senders) {
+			const connector = harness.add(
+				new FrameConnector(keeper.daemon.peerAddress, {
+					identity: { role, processId: 'sender-1', incarnation: '1' },
+					secret,
+					limits: defaultConnectionLimits,
+				}),
+			);
+			let isClosed = false;
+			connector.onDidConnect((connection) => {
+				connection.onDidClose(() => {
+					isClosed = true;
+				});
+				const report = {
+					kind: 'memberReports',
+					members: [member],
+					heardWithinMs: 500,
+					relayedWithinMs: 1000,
+					silent: [],
+				};
+				connection.send(report);
+			});
+			await waitFor(`the connection of the ${role} is closed`, 3000, () => isClosed);
+			connector.dispose();
+		}
+		t.is(statusOf(keeper, 'entry-9'), undefined);
+	});
+});
--- a/src/platform/transport/common/transport.ts
+++ b/src/platform/transport/common/transport.ts
@@ -3,8 +3,11 @@
 import type { IDisposable } from '../../../base/common/disposable.js';
 import type { Event } from '../../../base/common/event.js';
 
-/** What a process is. A keeper that connects to another to tell of its subscribers does so as `reporter`. */
-export type ProcessRole = 'entry' | 'agent' | 'keeper' | 'reporter' | 'operator' | 'probe';
+/**
+ * What a process is. A keeper that connects to another to tell of its subscribers does so as `reporter`, and an agent
+ * that subscribes to an entry, beside its connection for tasks, as `subscriber`.
+ */
+export type ProcessRole = 'entry' | 'agent' | 'keeper' | 'reporter' | 'subscriber' | 'operator' | 'probe';
 
 /** Who a process says it is when it connects; proven by the shared secret. */
 export interface PeerIdentity {
--- a/src/protocol/common/keeperMessageSchemas.ts
+++ b/src/protocol/common/keeperMessageSchemas.ts
@@ -1,13 +1,15 @@
 /**
- * Schemas of what keepers take from other processes. Claims and statuses end in the replicated state of every keeper,
- * so that a malformed one must be stopped before it is proposed.
+ * Schemas of the messages between keepers, relaying entries and subscribers. Claims and statuses end in the replicated
+ * state of every keeper, and tables in every process, so that a malformed one must be stopped where it arrives.
  */
 
 import { z } from 'zod';
+import { tableDeltaSchema, tablesSchema } from '../../declarations/common/tableSchemas.js';
 import type { ProcessRole } from '../../platform/transport/common/transport.js';
 import type {
 	ClaimRequest,
-	MemberReportsMessage,
+	EntryDirectory,
+	KeeperToMemberMessage,
 	MemberStatus,
 	MemberToKeeperMessage,
 } from './keeperMessages.js';
@@ -55,6 +57,38 @@
 	offer: offerSchema.optional(),
 });
 
+const roles: readonly ProcessRole[] = [
+	'entry',
+	'agent',
+	'keeper',
+	'reporter',
+	'subscriber',
+	'operator',
+	'probe',
+];
+
+/** Reports of another keeper, or of an entry about the agents that subscribe to it. */
+export const memberReportsSchema = z.object({
+	kind: z.literal('memberReports'),
+	members: z
+		.array(
+			z.object({
+				processId: textSchema,
+				role: z.enum(roles),
+				incarnation: textSchema,
+				subscribedAgoMs: ageSchema,
+				heardAgoMs: ageSchema,
+				hasLeft: z.boolean(),
+				relayId: textSchema.optional(),
+				status: statusSchema,
+			}),
+		)
+		.max(maxReportedMembers),
+	heardWithinMs: ageSchema,
+	relayedWithinMs: ageSchema,
+	silent: z.array(z.object({ processId: textSchema, heardAgoMs: ageSchema })).max(maxReportedMembers),
+});
+
 /** Messages of a subscriber. */
 export const memberToKeeperSchema: z.ZodType<MemberToKeeperMessage> = z.discriminatedUnion('kind', [
 	z.object({
@@ -70,26 +104,63 @@
 	z.object({ kind: z.literal('leave') }),
 	z.object({ kind: z.literal('claim'), claims: claimsSchema }),
 	z.object({ kind: z.literal('releaseClaims'), claims: claimsSchema }),
+	memberReportsSchema,
 ]);
 
-const roles: readonly ProcessRole[] = ['entry', 'agent', 'keeper', 'reporter', 'operator', 'probe'];
+/** Entries in one directory. */
+const maxDirectoryEntries = 10_000;
 
-/** Reports of another keeper. */
-export const memberReportsSchema: z.ZodType<MemberReportsMessage> = z.object({
-	kind: z.literal('memberReports'),
-	members: z
+/** Changes in one message. */
+const maxDeltasPerMessage = 1000;
+
+// Loose, so that an entry hands on what a newer keeper adds.
+const directorySchema: z.ZodType<EntryDirectory> = z.looseObject({
+	epoch: countSchema,
+	entries: z
 		.array(
-			z.object({
+			z.looseObject({
 				processId: textSchema,
-				role: z.enum(roles),
 				incarnation: textSchema,
-				subscribedAgoMs: ageSchema,
-				heardAgoMs: ageSchema,
-				hasLeft: z.boolean(),
-				status: statusSchema,
+				peerAddress: textSchema,
+				dataCentre: textSchema,
+				isDraining: z.boolean(),
 			}),
 		)
-		.max(maxReportedMembers),
-	heardWithinMs: ageSchema,
-	silent: z.array(z.object({ processId: textSchema, heardAgoMs: ageSchema })).max(maxReportedMembers),
+		.max(maxDirectoryEntries),
 });
+
+const freshnessShape = { historyId: textSchema, ageMs: ageSchema, probe: countSchema };
+
+/** Messages of a keeper, or of an entry that relays, to a subscriber. */
+export const keeperToMemberSchema: z.ZodType<KeeperToMemberMessage> = z.discriminatedUnion('kind', [
+	z.object({
+		kind: z.literal('controlSnapshot'),
+		...freshnessShape,
+		tables: tablesSchema,
+		directory: directorySchema,
+	}),
+	z.object({
+		kind: z.literal('controlDelta'),
+		...freshnessShape,
+		deltas: z.array(tableDeltaSchema).max(maxDeltasPerMessage),
+		directory: directorySchema.optional(),
+	}),
+	z.object({
+		kind: z.literal('controlFreshness'),
+		...freshnessShape,
+		revision: countSchema,
+		epoch: countSchema,
+	}),
+	z.object({
+		kind: z.literal('claimAnswers'),
+		answers: z.array(
+			z.object({
+				submissionId: textSchema,
+				claimNumber: countSchema.optional(),
+				outcome: z.enum(['granted', 'taken', 'unknown']),
+			}),
+		),
+		released: z.array(z.object({ submissionId: textSchema, claimNumber: countSchema.optional() })),
+	}),
+	z.object({ kind: z.literal('keeperLeaving') }),
+]);
--- a/src/protocol/common/keeperMessages.ts
+++ b/src/protocol/common/keeperMessages.ts
@@ -154,7 +154,7 @@
 	readonly epoch: number;
 }
 
-/** Asks the subscriber to move to another keeper, because this one stops. */
+/** Asks the subscriber to move to another keeper or entry, because this one stops or has no room. */
 export interface KeeperLeavingMessage {
 	readonly kind: 'keeperLeaving';
 }
@@ -170,12 +170,15 @@
 	readonly heardAgoMs: number;
 	/** The process said that it stops. */
 	readonly hasLeft: boolean;
+	/** Entry that the process subscribes to; absent when it subscribes to the reporting process itself. */
+	readonly relayId?: string | undefined;
 	readonly status: MemberStatus;
 }
 
 /**
- * Tells another keeper about the sender's subscribers, at an interval and after changes. It names only what has
- * changed, so that its size doesn't grow with the number of quiet subscribers.
+ * Tells a keeper about the sender's subscribers, at an interval and after changes. Keepers tell each other; an entry
+ * tells its keeper of the agents that it relays to. It names only what has changed, so that its size doesn't grow with
+ * the number of quiet subscribers.
  */
 export interface MemberReportsMessage {
 	readonly kind: 'memberReports';
@@ -183,6 +186,8 @@
 	readonly members: readonly MemberReport[];
 	/** Every process reported before on this connection and not named here was heard within this time. */
 	readonly heardWithinMs: number;
+	/** The same for processes with a `relayId`, of whom the sender hears at second hand. */
+	readonly relayedWithinMs: number;
 	/** Processes that were not heard within that time. */
 	readonly silent: readonly SilentMember[];
 }
@@ -208,4 +213,5 @@
 	| RenewLeaseMessage
 	| LeaveMessage
 	| ClaimMessage
-	| ReleaseClaimsMessage;
+	| ReleaseClaimsMessage
+	| MemberReportsMessage;
