Name the entries whose counts the burn report has lost, and draw the hours it has seen

Cause: counts live in the entries' memory. A restarted entry was shown with its time before the start as not seen, but an entry that was gone for longer than 5 s vanished from the report altogether: its jobs were missing and nothing said so, and the share seen was that of the others. Also a budget was shown over 3 days without saying that minutes of them were seen, and times had no time zone.

Change: each entry notes the runs of other entries that it sees in the directory, for 3 days; the report names each run that is gone with the time in which others saw it, and counts that time as not seen. Text and page say how much of the budget's window was seen, and the page has a bar for each entry whose unseen hours are hatched. Ruled out: keeping counts at the keepers, which would cost them writes and is an outside store in all but name.

--- a/src/bench/common/scenarioEvidence.ts
+++ b/src/bench/common/scenarioEvidence.ts
@@ -29,7 +29,10 @@
 	/** Frames that carried cancellations between processes, and the tasks and jobs named in them. */
 	readonly cancelFrames: number;
 	readonly cancelItems: number;
-	/** Jobs answered as failed of which no task failed, and none can have been lost with a killed worker. */
+	/**
+	 * Jobs answered as failed of which no task failed, and none ran at a worker when it was killed. A start that was
+	 * queued at a killed worker leaves no trace and counts here too.
+	 */
 	readonly failuresWithoutCause: number;
 	/** Mean run time that the pool's home has learned, and the true one of the tasks that ended well. */
 	readonly learnedRunMs: number;
@@ -150,7 +153,7 @@
 	return counts;
 }
 
-/** Whether a task of a failed job failed, or was lost with a killed worker. One that was queued there left no trace. */
+/** Whether a task of a failed job failed, or was lost with a killed worker. */
 function hasCause(
 	job: ObservedJob,
 	tasks: ReadonlyMap<string, ObservedTask>,
@@ -158,10 +161,7 @@
 ): boolean {
 	return job.tokens.some((token) => {
 		const task = tasks.get(token);
-		if (task === undefined) {
-			return killedUpstreams.size > 0;
-		}
-		return task.end === 'fail' || (killedUpstreams.has(task.upstream) && task.end !== 'end');
+		return task?.end === 'fail' || (killedUpstreams.has(task?.upstream ?? '') && task?.end !== 'end');
 	});
 }
 
--- a/src/bench/common/scenarioTable.ts
+++ b/src/bench/common/scenarioTable.ts
@@ -91,7 +91,10 @@
 				`were stopped, ${cancelled.startedLate} started late; ${evidence.cancelFrames} frames named ` +
 				`${evidence.cancelItems} tasks and jobs`,
 		)
-		.with('worker-deaths', () => `${evidence.failuresWithoutCause} failures without a lost task`)
+		.with(
+			'worker-deaths',
+			() => `${evidence.failuresWithoutCause} failures without a task that ran at a killed worker`,
+		)
 		.with(
 			'steady',
 			'burst',
--- a/src/bench/test/scenarioEvidence.test.ts
+++ b/src/bench/test/scenarioEvidence.test.ts
@@ -34,13 +34,14 @@
 		{ tokens: ['failed'], outcome: 'ranAndFailed' },
 		{ tokens: ['ended', 'lost'], outcome: 'mayHaveRun' },
 		{ tokens: ['whole', 'ended'], outcome: 'mayHaveRun' },
+		{ tokens: ['neverStarted'], outcome: 'mayHaveRun' },
 		{ tokens: ['ended'], outcome: 'complete' },
 	] as const;
 	const found = findEvidence({ ...calm, events, jobs, killedUpstreams: new Set(['killed']) });
-	t.is(found.failuresWithoutCause, 1);
+	t.is(found.failuresWithoutCause, 2);
 	t.is(found.trueRunMs, 100);
 	const nobodyKilled = findEvidence({ ...calm, events, jobs });
-	t.is(nobodyKilled.failuresWithoutCause, 2);
+	t.is(nobodyKilled.failuresWithoutCause, 3);
 });
 
 test('cancelled tasks are told apart, and a late start is seen', (t) => {
--- a/src/burn/common/burnPage.ts
+++ b/src/burn/common/burnPage.ts
@@ -1,9 +1,16 @@
 /** The burn report as one self-contained HTML page. */
 
 import { html, raw } from 'hono/html';
-import type { BurnReport, ObjectiveBurn, RouteBurn, UnseenSpan, WindowBurn } from './burnReport.js';
-import { formatRate, formatShare, formatTime, promisedJobs } from './burnText.js';
-import { outcomeClasses, type OutcomeClass } from './outcomeCounts.js';
+import {
+	burnWindows,
+	type BurnReport,
+	type ObjectiveBurn,
+	type RouteBurn,
+	type UnseenSpan,
+	type WindowBurn,
+} from './burnReport.js';
+import { describeLostRun, formatRate, formatShare, formatTime, promisedJobs } from './burnText.js';
+import { outcomeClasses, type OutcomeClass, type SeenSpan } from './outcomeCounts.js';
 
 const outcomeColours: Readonly<Record<OutcomeClass, string>> = {
 	onTime: '#2f855a',
@@ -34,6 +41,10 @@
 	.alarm { padding: .4rem .7rem; border-left: 4px solid; margin: .4rem 0; }
 	.page { border-color: #c53030; background: #fff5f5; } .ticket { border-color: #d69e2e; background: #fffff0; }
 	.key span { display: inline-block; margin-right: 1rem; } .key i { display: inline-block; width: .8rem; height: .8rem; margin-right: .3rem; }
+	.timeline td:first-child { width: 8rem; } .timeline td { border: 0; }
+	.span { position: relative; height: .9rem; background: #2b6cb0; border-radius: 3px; overflow: hidden; }
+	.span span { position: absolute; top: 0; bottom: 0; background: repeating-linear-gradient(45deg, #e2e8f0 0 5px, #a0aec0 5px 7px); }
+	.ends { display: flex; justify-content: space-between; color: #4a5568; font-size: .85rem; }
 	.unseen { color: #744210; } .hot { color: #c53030; font-weight: 600; }
 `;
 
@@ -73,9 +84,50 @@
 	const silent = report.silentEntries.map(
 		(entry) => html`<li>${entry} could not be read; none of its jobs are in this report.</li>`,
 	);
-	return html`<ul class="unseen">
-		${silent}${report.unseenSpans.map(renderUnseen)}
-	</ul>`;
+	const lost = report.lostRuns.map((run) => html`<li>Not counted: ${describeLostRun(run)}</li>`);
+	return html`<h2>What this report has seen</h2>
+		${renderTimeline(report)}
+		<ul class="unseen">
+			${silent}${lost}${report.unseenSpans.map(renderUnseen)}
+		</ul>`;
+}
+
+/** One bar for each entry over the longest window: what it has not seen is hatched. */
+function renderTimeline(report: BurnReport): Markup {
+	const lengthMs = Math.max(...burnWindows.map((window) => window.lengthMs));
+	const fromMs = report.atMs - lengthMs;
+	const rows = report.entries.map((entry) => {
+		const gaps = report.unseenSpans.filter((span) => span.processId === entry);
+		return renderTimelineRow(entry, gaps, fromMs, lengthMs);
+	});
+	const silent = report.silentEntries.map((entry) =>
+		renderTimelineRow(entry, [{ fromMs, untilMs: report.atMs }], fromMs, lengthMs),
+	);
+	return html`<table class="timeline">
+		${rows}${silent}
+		<tr>
+			<td></td>
+			<td class="ends"><span>${formatTime(fromMs)} UTC</span><span>${formatTime(report.atMs)} UTC</span></td>
+		</tr>
+	</table>`;
+}
+
+function renderTimelineRow(
+	entry: string,
+	gaps: readonly SeenSpan[],
+	windowFromMs: number,
+	lengthMs: number,
+): Markup {
+	const parts = gaps.map((gap) => {
+		const leftPercent = (Math.max(0, gap.fromMs - windowFromMs) / lengthMs) * 100;
+		const widthPercent = ((gap.untilMs - Math.max(gap.fromMs, windowFromMs)) / lengthMs) * 100;
+		const title = `not seen from ${formatTime(gap.fromMs)} to ${formatTime(gap.untilMs)} UTC`;
+		return html`<span title="${title}" style="left:${leftPercent}%;width:${widthPercent}%"></span>`;
+	});
+	return html`<tr>
+		<td>${entry}</td>
+		<td><div class="span">${parts}</div></td>
+	</tr>`;
 }
 
 function renderUnseen(span: UnseenSpan): Markup {
@@ -90,8 +142,8 @@
 		<p>
 			Promised: ${formatShare(objectives.answeredWithinShare)} within ${objectives.answeredWithinMs} ms,
 			${formatShare(objectives.answeredWholeShare)} whole.<br />
-			Budget left on time: ${renderBudget(route.budgetLeft.onTime)} whole:
-			${renderBudget(route.budgetLeft.whole)}
+			Budget left over 3d, ${formatShare(route.windows.at(-1)?.seenShare)} of it seen. On time:
+			${renderBudget(route.budgetLeft.onTime)} whole: ${renderBudget(route.budgetLeft.whole)}
 		</p>
 		${route.alarms.map((alarm) => html`<p class="alarm ${alarm.kind}"><b>${alarm.kind}</b> ${alarm.message}</p>`)}
 		<table>
--- a/src/burn/common/burnReport.ts
+++ b/src/burn/common/burnReport.ts
@@ -4,6 +4,7 @@
 import {
 	addOutcomes,
 	noOutcomes,
+	type EntryRun,
 	type OutcomeCounts,
 	type OutcomeLedger,
 	type RouteLedger,
@@ -27,6 +28,8 @@
 	{ name: '3d', lengthMs: 72 * hourMs },
 ];
 
+const longestWindowMs = Math.max(...burnWindows.map((window) => window.lengthMs));
+
 /** What an objective promises: an answer in time, or a whole answer however late. */
 export type ObjectiveKind = 'onTime' | 'whole';
 
@@ -99,6 +102,8 @@
 	readonly entries: readonly string[];
 	/** Entries that are known but gave no ledger: none of their counts are in the report. */
 	readonly silentEntries: readonly string[];
+	/** Runs of entries that are gone, with the time in which others saw them: what they counted is lost. */
+	readonly lostRuns: readonly EntryRun[];
 	/** What the entries in the report have not seen of the longest window. */
 	readonly unseenSpans: readonly UnseenSpan[];
 }
@@ -123,6 +128,7 @@
 		routes: routeNames.map((route) => computeRoute(route, ledgers, silentEntries, atMs)),
 		entries: ledgers.map((ledger) => ledger.processId),
 		silentEntries,
+		lostRuns: lostRunsOf(ledgers, silentEntries, atMs),
 		unseenSpans: ledgers.flatMap((ledger) => unseenSpansOf(ledger, atMs)),
 	};
 }
@@ -139,9 +145,10 @@
 		throw new RangeError(`No ledger has the route "${route}".`);
 	}
 	const { objectives } = first;
+	const lostRuns = lostRunsOf(ledgers, silentEntries, atMs);
 	const windows = burnWindows.map((window): WindowBurn => {
 		const counts = countWindow(parts, window, atMs);
-		const seenShare = silentEntries.length > 0 ? 0 : seenShareOf(ledgers, window, atMs);
+		const seenShare = silentEntries.length > 0 ? 0 : seenShareOf(ledgers, lostRuns, window, atMs);
 		return { window: window.name, counts, seenShare, objectives: burnOf(counts, objectives) };
 	});
 	return {
@@ -218,27 +225,57 @@
 	});
 }
 
-function seenShareOf(ledgers: readonly OutcomeLedger[], window: BurnWindow, atMs: number): number {
+/** Least share of the window that any entry has seen; a lost run has seen nothing of its time. */
+function seenShareOf(
+	ledgers: readonly OutcomeLedger[],
+	lostRuns: readonly EntryRun[],
+	window: BurnWindow,
+	atMs: number,
+): number {
 	if (ledgers.length === 0) {
 		return 0;
 	}
+	const seen = ledgers.map((ledger) => shareOfWindow(ledger.seenSpans, window, atMs));
+	const lost = lostRuns.map((run) => 1 - shareOfWindow([run], window, atMs));
+	return Math.min(...seen, ...lost);
+}
+
+function shareOfWindow(spans: readonly SeenSpan[], window: BurnWindow, atMs: number): number {
 	const fromMs = atMs - window.lengthMs;
-	const shares = ledgers.map((ledger) => {
-		const seenMs = ledger.seenSpans
-			.map((span) => Math.max(0, Math.min(span.untilMs, atMs) - Math.max(span.fromMs, fromMs)))
-			.reduce((sum, spanMs) => sum + spanMs, 0);
-		return Math.min(1, seenMs / window.lengthMs);
-	});
-	return Math.min(...shares);
+	const coveredMs = spans
+		.map((span) => Math.max(0, Math.min(span.untilMs, atMs) - Math.max(span.fromMs, fromMs)))
+		.reduce((sum, spanMs) => sum + spanMs, 0);
+	return Math.min(1, coveredMs / window.lengthMs);
+}
+
+/** Runs that others saw within the longest window and whose ledgers are gone with them. */
+function lostRunsOf(
+	ledgers: readonly OutcomeLedger[],
+	silentEntries: readonly string[],
+	atMs: number,
+): EntryRun[] {
+	const present = new Set(ledgers.map((ledger) => ledger.incarnation));
+	const runs = new Map<string, EntryRun>();
+	for (const run of ledgers.flatMap((ledger) => ledger.otherRuns)) {
+		const isOld = run.untilMs < atMs - longestWindowMs;
+		// The present run of an entry that could not be read is named as silent already.
+		if (isOld || present.has(run.incarnation) || silentEntries.includes(run.processId)) {
+			continue;
+		}
+		const known = runs.get(run.incarnation) ?? run;
+		const fromMs = Math.min(known.fromMs, run.fromMs);
+		const untilMs = Math.max(known.untilMs, run.untilMs);
+		runs.set(run.incarnation, { ...run, fromMs, untilMs });
+	}
+	return [...runs.values()].sort((a, b) => a.fromMs - b.fromMs);
 }
 
 /** Gaps shorter than this are the time between two beats, not time that was missed. */
 const leastUnseenMs = 5000;
 
 function unseenSpansOf(ledger: OutcomeLedger, atMs: number): UnseenSpan[] {
-	const longest = Math.max(...burnWindows.map((window) => window.lengthMs));
 	const spans: UnseenSpan[] = [];
-	let seenUntilMs = atMs - longest;
+	let seenUntilMs = atMs - longestWindowMs;
 	for (const span of [...ledger.seenSpans, { fromMs: atMs, untilMs: atMs }]) {
 		if (span.fromMs - seenUntilMs > leastUnseenMs) {
 			spans.push({ processId: ledger.processId, fromMs: seenUntilMs, untilMs: span.fromMs });
--- a/src/burn/common/burnText.ts
+++ b/src/burn/common/burnText.ts
@@ -1,7 +1,7 @@
 /** The burn report as a table for a terminal. */
 
 import type { BurnReport, ObjectiveBurn, RouteBurn, WindowBurn } from './burnReport.js';
-import type { OutcomeCounts } from './outcomeCounts.js';
+import type { EntryRun, OutcomeCounts } from './outcomeCounts.js';
 
 const columns = [
 	'window',
@@ -48,10 +48,11 @@
 
 function renderRoute(route: RouteBurn): string {
 	const { objectives, budgetLeft } = route;
+	const seenShare = formatShare(route.windows.at(-1)?.seenShare);
 	const head =
 		`Route ${route.route}: ${formatShare(objectives.answeredWithinShare)} within ${objectives.answeredWithinMs} ms, ` +
 		`${formatShare(objectives.answeredWholeShare)} whole.\n` +
-		`Budget left over 3d: on time ${formatShare(budgetLeft.onTime)}, whole ${formatShare(budgetLeft.whole)}.`;
+		`Budget left over 3d, ${seenShare} of it seen: on time ${formatShare(budgetLeft.onTime)}, whole ${formatShare(budgetLeft.whole)}.`;
 	const alarms = route.alarms.map((alarm) => `${alarm.kind.toUpperCase()}: ${alarm.message}`);
 	return [head, ...alarms, renderTable(route.windows), ''].join('\n');
 }
@@ -86,10 +87,20 @@
 	const silent = report.silentEntries.map(
 		(entry) => `Not counted: ${entry} could not be read, so none of its jobs are in this report.`,
 	);
+	const lost = report.lostRuns.map((run) => `Not counted: ${describeLostRun(run)}`);
 	const unseen = report.unseenSpans.map(
-		(span) => `Not seen by ${span.processId}: ${formatTime(span.fromMs)} to ${formatTime(span.untilMs)}.`,
+		(span) => `Not seen by ${span.processId}: ${formatTime(span.fromMs)} to ${formatTime(span.untilMs)} UTC.`,
+	);
+	const counted = `Counted by: ${report.entries.join(', ') || 'nobody'}, up to ${formatTime(report.atMs)} UTC.`;
+	return [counted, ...silent, ...lost, ...unseen, ''].join('\n');
+}
+
+/** A sentence about a run whose counts are lost. */
+export function describeLostRun({ processId, fromMs, untilMs }: EntryRun): string {
+	return (
+		`a run of ${processId} is gone with what it counted; others saw it from ${formatTime(fromMs)} ` +
+		`to ${formatTime(untilMs)} UTC.`
 	);
-	return [`Counted by: ${report.entries.join(', ') || 'nobody'}.`, ...silent, ...unseen, ''].join('\n');
 }
 
 /** Formats a wall-clock time for a person. */
--- a/src/burn/common/outcomeCounts.ts
+++ b/src/burn/common/outcomeCounts.ts
@@ -58,6 +58,12 @@
 	readonly untilMs: number;
 }
 
+/** A run of an entry, and the wall-clock time in which another entry saw it in the directory. */
+export interface EntryRun extends SeenSpan {
+	readonly processId: string;
+	readonly incarnation: string;
+}
+
 /** What one entry has counted. */
 export interface OutcomeLedger {
 	readonly processId: string;
@@ -66,6 +72,8 @@
 	readonly readAtMs: number;
 	/** Spans in which the entry was counting, oldest first. */
 	readonly seenSpans: readonly SeenSpan[];
+	/** Runs of other entries that this one has seen: what they counted is lost when they are gone. */
+	readonly otherRuns: readonly EntryRun[];
 	readonly routes: readonly RouteLedger[];
 }
 
--- a/src/burn/common/outcomeRecorder.ts
+++ b/src/burn/common/outcomeRecorder.ts
@@ -3,6 +3,7 @@
 import type { RouteObjectives } from '../../declarations/common/tables.js';
 import {
 	noOutcomes,
+	type EntryRun,
 	type OutcomeClass,
 	type OutcomeCounts,
 	type OutcomeLedger,
@@ -20,8 +21,8 @@
 
 const minuteMs = 60_000;
 
-/** Name of an entry's run, for its ledger. */
-export interface LedgerSource {
+/** Name of an entry's run. */
+export interface RunIdentity {
 	readonly processId: string;
 	readonly incarnation: string;
 }
@@ -36,9 +37,11 @@
 export class OutcomeRecorder {
 	private readonly _routes = new Map<string, Map<number, Record<OutcomeClass, number>>>();
 	private readonly _seenSpans: SeenSpan[] = [];
+	/** By incarnation. */
+	private readonly _otherRuns = new Map<string, EntryRun>();
 
 	constructor(
-		private readonly _source: LedgerSource,
+		private readonly _source: RunIdentity,
 		private readonly _wallClock: WallClock,
 	) {
 		const nowMs = _wallClock();
@@ -59,6 +62,18 @@
 		this._forgetOld(nowMs);
 	}
 
+	/** Notes the runs of entries that are in the directory now, so that a report can name one that is gone. */
+	noteRuns(runs: readonly RunIdentity[]): void {
+		const nowMs = this._wallClock();
+		for (const { processId, incarnation } of runs) {
+			if (incarnation === this._source.incarnation) {
+				continue;
+			}
+			const fromMs = this._otherRuns.get(incarnation)?.fromMs ?? nowMs;
+			this._otherRuns.set(incarnation, { processId, incarnation, fromMs, untilMs: nowMs });
+		}
+	}
+
 	/** Counts one job. */
 	record(route: string, outcome: OutcomeClass): void {
 		const minute = Math.floor(this._wallClock() / minuteMs);
@@ -76,7 +91,14 @@
 			return objectives === undefined ? [] : [{ route, objectives, buckets: toBuckets(buckets) }];
 		});
 		const { processId, incarnation } = this._source;
-		return { processId, incarnation, readAtMs: this._wallClock(), seenSpans: [...this._seenSpans], routes };
+		return {
+			processId,
+			incarnation,
+			readAtMs: this._wallClock(),
+			seenSpans: [...this._seenSpans],
+			otherRuns: [...this._otherRuns.values()],
+			routes,
+		};
 	}
 
 	private _forgetOld(nowMs: number): void {
@@ -84,6 +106,11 @@
 		while ((this._seenSpans[0]?.untilMs ?? nowMs) < oldestMs) {
 			this._seenSpans.shift();
 		}
+		for (const [incarnation, run] of this._otherRuns) {
+			if (run.untilMs < oldestMs) {
+				this._otherRuns.delete(incarnation);
+			}
+		}
 		const oldestMinute = Math.floor(oldestMs / minuteMs);
 		for (const buckets of this._routes.values()) {
 			for (const minute of buckets.keys()) {
--- a/src/burn/test/burnReport.test.ts
+++ b/src/burn/test/burnReport.test.ts
@@ -101,6 +101,43 @@
 	t.regex(renderBurnText(report), /Not seen by entry-1/);
 });
 
+test('a run of an entry that is gone is named with its hours, and counts as not seen', async (t) => {
+	const survivor = ledgerOf((recorder, setTime) => {
+		recorder.record('lookup', 'onTime');
+		for (let atMs = startMs; atMs <= startMs + hourMs; atMs += 4000) {
+			setTime(atMs);
+			recorder.beat();
+			// Another entry is there for the first half hour and is killed then; this one sees itself too.
+			const own = { processId: 'entry-1', incarnation: 'a' };
+			const other = { processId: 'entry-2', incarnation: 'b' };
+			recorder.noteRuns(atMs < startMs + hourMs / 2 ? [own, other] : [own]);
+		}
+	});
+	const report = computeBurn([survivor], [], startMs + hourMs);
+	t.like(report.lostRuns, [{ processId: 'entry-2', incarnation: 'b', fromMs: startMs }]);
+	t.is(report.lostRuns.length, 1);
+	const [fiveMinutes, oneHour] = report.routes[0]!.windows;
+	t.is(Math.round(fiveMinutes!.seenShare * 100), 100);
+	t.is(Math.round(oneHour!.seenShare * 100), 50);
+	const sentence = /entry-2[^]*is gone[^]*2027-01-15 08:00:00[^]*2027-01-15 08:29:56/;
+	t.regex(renderBurnText(report), sentence);
+	t.regex(String(await renderBurnPage(report)), sentence);
+	const both = computeBurn([survivor, { ...survivor, processId: 'entry-2', incarnation: 'b' }], [], startMs);
+	t.deepEqual(both.lostRuns, [], 'A run that was read is not lost.');
+});
+
+test('a budget over a window that was hardly seen says how little of it was seen', async (t) => {
+	const ledger = ledgerOf((recorder, setTime) => {
+		recorder.record('lookup', 'onTime');
+		beatUntil(recorder, setTime, startMs, startMs + hourMs);
+	});
+	const report = computeBurn([ledger], [], startMs + hourMs);
+	const sentence = /3d[^]{0,20}1\.39% (of it )?(was )?seen/;
+	t.regex(renderBurnText(report), sentence);
+	t.regex(String(await renderBurnPage(report)), sentence);
+	t.regex(renderBurnText(report), /\d UTC/);
+});
+
 test('the page shows the route and escapes its name', async (t) => {
 	const ledger = ledgerOf((recorder) => {
 		recorder.record('<lookup>', 'onTime');
--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -109,7 +109,7 @@
 			settings.maxBodyBytes,
 		);
 		this._outcomes = this._register(
-			new OutcomeBook(_identity, () => _control.state.tables, _options.metrics ?? nullMetricsService),
+			new OutcomeBook(_identity, () => _control.state, _options.metrics ?? nullMetricsService),
 		);
 		this._serve();
 		this._followControl();
--- a/src/entry/node/outcomeBook.ts
+++ b/src/entry/node/outcomeBook.ts
@@ -2,8 +2,9 @@
 
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import type { OutcomeLedger } from '../../burn/common/outcomeCounts.js';
-import { classifyOutcome, OutcomeRecorder, type LedgerSource } from '../../burn/common/outcomeRecorder.js';
-import type { RouteObjectives, Tables } from '../../declarations/common/tables.js';
+import { classifyOutcome, OutcomeRecorder, type RunIdentity } from '../../burn/common/outcomeRecorder.js';
+import type { ControlState } from '../../control/common/controlPlane.js';
+import type { RouteObjectives } from '../../declarations/common/tables.js';
 import type { IMetricsService } from '../../platform/metrics/common/metrics.js';
 import type { JobAnswer } from '../../protocol/common/jobs.js';
 
@@ -14,15 +15,15 @@
  * Records each job's end.
  *
  * @example
- * const book = store.add(new OutcomeBook(identity, () => control.state.tables, metrics));
+ * const book = store.add(new OutcomeBook(identity, () => control.state, metrics));
  * book.record('commission-terms', answer, responseMs);
  */
 export class OutcomeBook extends Disposable {
 	private readonly _recorder: OutcomeRecorder;
 
 	constructor(
-		source: LedgerSource,
-		private readonly _tables: () => Tables,
+		source: RunIdentity,
+		private readonly _control: () => ControlState,
 		private readonly _metrics: IMetricsService,
 	) {
 		super();
@@ -30,6 +31,7 @@
 		// Beats say that the process was counting; a gap is time that the burn report has not seen.
 		const timer = setInterval(() => {
 			this._recorder.beat();
+			this._recorder.noteRuns(this._control().directory.entries);
 		}, beatMs);
 		this._register(
 			toDisposable(() => {
@@ -59,6 +61,6 @@
 	}
 
 	private _objectivesOf(route: string): RouteObjectives | undefined {
-		return this._tables().routes.find((row) => row.name === route)?.objectives;
+		return this._control().tables.routes.find((row) => row.name === route)?.objectives;
 	}
 }
--- a/src/operator/node/ledgerReader.ts
+++ b/src/operator/node/ledgerReader.ts
@@ -11,6 +11,9 @@
 	incarnation: z.string(),
 	readAtMs: z.number(),
 	seenSpans: z.array(z.object({ fromMs: z.number(), untilMs: z.number() })),
+	otherRuns: z.array(
+		z.object({ processId: z.string(), incarnation: z.string(), fromMs: z.number(), untilMs: z.number() }),
+	),
 	routes: z.array(
 		z.object({
 			route: z.string(),
