Show budgets, small shares and the plot's scale as they are

Seen in the browser: the bar of a whole budget was empty (its fill had no height), a share of 0.003% was shown as 0.00%, a budget that is gone was a negative share, and docs/bench/policies.svg had no scale, squat bars (the scale went to 10 for values up to 3) and a label under the target's line.

--- a/src/bench/common/policyPlot.ts
+++ b/src/bench/common/policyPlot.ts
@@ -10,13 +10,17 @@
 	readonly targetOf: (load: number) => number | undefined;
 	/** Values from this one up are drawn on a logarithmic scale; it is the foot of the bars. */
 	readonly foot: number;
+	/** Values that get a line across the panel, where they are in reach. */
+	readonly ticks: readonly number[];
 }
 
 const widthPx = 960;
 const panelHeightPx = 250;
 const marginPx = { left: 60, right: 20, top: 40, bottom: 40 } as const;
 const groupGapPx = 30;
-const smallestFoot = 0.01;
+const smallestFoot = 0.005;
+/** Least height of a panel's scale, as a multiple of its foot. */
+const leastScale = 1.5;
 
 const colours = ['#2b6cb0', '#dd6b20', '#38a169', '#805ad5', '#718096', '#d53f8c'] as const;
 
@@ -32,16 +36,18 @@
 
 const panels: readonly Panel[] = [
 	{
-		title: 'Response over the ideal, 99th percentile (log scale)',
+		title: 'Response over the ideal, 99th percentile (less is better, log scale)',
 		valueOf: (report) => report.responseOverIdeal.p99,
 		targetOf: (load) => p99Targets.get(load),
 		foot: 1,
+		ticks: [1, 1.2, 1.5, 2, 3, 5, 10, 20, 50],
 	},
 	{
-		title: 'Wasted messages a task (log scale)',
+		title: 'Wasted messages a task (less is better, log scale)',
 		valueOf: (report) => report.wastedMessagesPerTask,
 		targetOf: () => wastedMessagesTarget,
 		foot: smallestFoot,
+		ticks: [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10],
 	},
 ];
 
@@ -76,7 +82,8 @@
 function drawPanel(panel: Panel, reports: readonly BenchReport[], topPx: number): string {
 	const loads = loadsOf(reports);
 	const policies = policiesOf(reports);
-	const top = Math.max(panel.foot * 10, ...reports.map(panel.valueOf)) * 1.2;
+	const values = reports.flatMap((report) => [panel.valueOf(report), panel.targetOf(report.load) ?? 0]);
+	const top = Math.max(panel.foot * leastScale, ...values) * 1.2;
 	const plotHeightPx = panelHeightPx - marginPx.top - marginPx.bottom;
 	const baseY = topPx + marginPx.top + plotHeightPx;
 	const toHeight = (value: number): number =>
@@ -87,9 +94,13 @@
 		`<text x="${marginPx.left}" y="${topPx + 24}" font-size="14" font-weight="bold">${panel.title}</text>`,
 		`<line x1="${marginPx.left}" x2="${widthPx - marginPx.right}" y1="${baseY}" y2="${baseY}" stroke="black"/>`,
 	];
+	for (const tick of panel.ticks.filter((value) => value <= top)) {
+		parts.push(drawTick(tick, baseY - toHeight(tick)));
+	}
 	loads.forEach((load, group) => {
 		const groupX = marginPx.left + group * groupWidth + groupGapPx / 2;
 		parts.push(text(groupX + (groupWidth - groupGapPx) / 2, baseY + 16, `load ${load * 100}%`));
+		parts.push(drawTarget(panel, load, groupX, groupWidth, baseY, toHeight));
 		policies.forEach((policy, place) => {
 			const report = reports.find((candidate) => candidate.policy === policy && candidate.load === load);
 			if (report === undefined) {
@@ -101,10 +112,9 @@
 			const colour = colours[place % colours.length] ?? 'black';
 			parts.push(
 				`<rect x="${x}" y="${baseY - barHeight}" width="${barWidth * 0.85}" height="${barHeight}" fill="${colour}"/>`,
-				text(x + barWidth * 0.42, baseY - barHeight - 4, value.toFixed(2)),
+				text(x + barWidth * 0.42, baseY - barHeight - 4, formatValue(value)),
 			);
 		});
-		parts.push(drawTarget(panel, load, groupX, groupWidth, baseY, toHeight));
 	});
 	return parts.join('\n');
 }
@@ -125,6 +135,16 @@
 	return `<line x1="${groupX - 8}" x2="${groupX + groupWidth - groupGapPx}" y1="${y}" y2="${y}" stroke="#e53e3e" stroke-dasharray="5 3"/>`;
 }
 
+function drawTick(value: number, y: number): string {
+	const line = `<line x1="${marginPx.left}" x2="${widthPx - marginPx.right}" y1="${y}" y2="${y}" stroke="#e2e8f0"/>`;
+	return `${line}<text x="${marginPx.left - 6}" y="${y + 4}" text-anchor="end" font-size="10" fill="#4a5568">${value}</text>`;
+}
+
+/** Small values need a third decimal to differ. */
+function formatValue(value: number): string {
+	return value.toFixed(value < 0.1 ? 3 : 2);
+}
+
 function drawLegend(policies: readonly string[], y: number): string {
 	const items = policies.map((policy, index) => {
 		const x = marginPx.left + index * 150;
@@ -136,7 +156,7 @@
 }
 
 function text(x: number, y: number, content: string): string {
-	return `<text x="${x}" y="${y}" text-anchor="middle" font-size="11">${content}</text>`;
+	return `<text x="${x}" y="${y}" text-anchor="middle" font-size="11" stroke="white" stroke-width="3" paint-order="stroke">${content}</text>`;
 }
 
 /**
--- a/src/burn/common/burnPage.ts
+++ b/src/burn/common/burnPage.ts
@@ -9,7 +9,14 @@
 	type UnseenSpan,
 	type WindowBurn,
 } from './burnReport.js';
-import { describeLostRun, formatRate, formatShare, formatTime, promisedJobs } from './burnText.js';
+import {
+	describeLostRun,
+	formatBudget,
+	formatRate,
+	formatShare,
+	formatTime,
+	promisedJobs,
+} from './burnText.js';
 import { outcomeClasses, type OutcomeClass, type SeenSpan } from './outcomeCounts.js';
 
 const outcomeColours: Readonly<Record<OutcomeClass, string>> = {
@@ -37,7 +44,8 @@
 	th, td { text-align: right; padding: .3rem .6rem; border-bottom: 1px solid #e2e8f0; }
 	th:first-child, td:first-child { text-align: left; }
 	.bar { display: flex; height: .9rem; min-width: 12rem; background: #edf2f7; border-radius: 3px; overflow: hidden; }
-	.budget { display: inline-block; width: 12rem; vertical-align: middle; }
+	.budget { display: inline-block; width: 10rem; vertical-align: middle; } .budget span { display: block; height: 100%; }
+	th.left { text-align: left; }
 	.alarm { padding: .4rem .7rem; border-left: 4px solid; margin: .4rem 0; }
 	.page { border-color: #c53030; background: #fff5f5; } .ticket { border-color: #d69e2e; background: #fffff0; }
 	.key span { display: inline-block; margin-right: 1rem; } .key i { display: inline-block; width: .8rem; height: .8rem; margin-right: .3rem; }
@@ -142,8 +150,9 @@
 		<p>
 			Promised: ${formatShare(objectives.answeredWithinShare)} within ${objectives.answeredWithinMs} ms,
 			${formatShare(objectives.answeredWholeShare)} whole.<br />
-			Budget left over 3d, ${formatShare(route.windows.at(-1)?.seenShare)} of it seen. On time:
-			${renderBudget(route.budgetLeft.onTime)} whole: ${renderBudget(route.budgetLeft.whole)}
+			Budget left over 3d, ${formatShare(route.windows.at(-1)?.seenShare)} of it seen:<br />
+			${renderBudget(route.budgetLeft.onTime)} on time<br />
+			${renderBudget(route.budgetLeft.whole)} whole
 		</p>
 		${route.alarms.map((alarm) => html`<p class="alarm ${alarm.kind}"><b>${alarm.kind}</b> ${alarm.message}</p>`)}
 		<table>
@@ -151,7 +160,7 @@
 				<th>window</th>
 				<th>seen</th>
 				<th>jobs</th>
-				<th>how they ended</th>
+				<th class="left">how they ended</th>
 				<th>burn on time</th>
 				<th>burn whole</th>
 			</tr>
@@ -162,7 +171,7 @@
 function renderBudget(left: number | undefined): Markup {
 	const widthPercent = Math.max(0, Math.min(1, left ?? 0)) * 100;
 	return html`<span class="bar budget"><span style="width:${widthPercent}%;background:#3182ce"></span></span>
-		${formatShare(left)}`;
+		${formatBudget(left)}`;
 }
 
 function renderWindow(window: WindowBurn): Markup {
--- a/src/burn/common/burnText.ts
+++ b/src/burn/common/burnText.ts
@@ -28,9 +28,20 @@
 	return `${body}\n${renderCoverage(report)}`;
 }
 
-/** Formats a share as a percentage. */
+/** Least share that two decimals of a percentage can show. */
+const leastShownShare = 0.0001;
+
+/** Formats a share as a percentage. A small one is not shown as none. */
 export function formatShare(share: number | undefined): string {
-	return share === undefined ? '-' : `${(share * 100).toFixed(2)}%`;
+	if (share === undefined) {
+		return '-';
+	}
+	return share > 0 && share < leastShownShare ? 'less than 0.01%' : `${(share * 100).toFixed(2)}%`;
+}
+
+/** Formats the share of a budget that is left. */
+export function formatBudget(left: number | undefined): string {
+	return left !== undefined && left < 0 ? `overspent by ${formatShare(-left)}` : formatShare(left);
 }
 
 /** Formats a burn rate. */
@@ -52,7 +63,7 @@
 	const head =
 		`Route ${route.route}: ${formatShare(objectives.answeredWithinShare)} within ${objectives.answeredWithinMs} ms, ` +
 		`${formatShare(objectives.answeredWholeShare)} whole.\n` +
-		`Budget left over 3d, ${seenShare} of it seen: on time ${formatShare(budgetLeft.onTime)}, whole ${formatShare(budgetLeft.whole)}.`;
+		`Budget left over 3d, ${seenShare} of it seen: on time ${formatBudget(budgetLeft.onTime)}, whole ${formatBudget(budgetLeft.whole)}.`;
 	const alarms = route.alarms.map((alarm) => `${alarm.kind.toUpperCase()}: ${alarm.message}`);
 	return [head, ...alarms, renderTable(route.windows), ''].join('\n');
 }
--- a/src/burn/test/burnReport.test.ts
+++ b/src/burn/test/burnReport.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { computeBurn } from '../common/burnReport.js';
 import { renderBurnPage } from '../common/burnPage.js';
-import { renderBurnText } from '../common/burnText.js';
+import { formatBudget, formatShare, renderBurnText } from '../common/burnText.js';
 import type { OutcomeLedger } from '../common/outcomeCounts.js';
 import { classifyOutcome, OutcomeRecorder } from '../common/outcomeRecorder.js';
 
@@ -138,6 +138,14 @@
 	t.regex(renderBurnText(report), /\d UTC/);
 });
 
+test('a small share is not shown as none, and a budget that is gone is said to be overspent', (t) => {
+	t.is(formatShare(0), '0.00%');
+	t.is(formatShare(0.00001), 'less than 0.01%');
+	t.is(formatBudget(-1.5), 'overspent by 150.00%');
+	t.is(formatBudget(0.25), '25.00%');
+	t.is(formatBudget(undefined), '-');
+});
+
 test('the page shows the route and escapes its name', async (t) => {
 	const ledger = ledgerOf((recorder) => {
 		recorder.record('<lookup>', 'onTime');
