--- a/src/proof/test/burn.test.ts
+++ b/src/code/node/test/burnReport.test.ts
@@ -1,10 +1,10 @@
 /** The burn report of real processes says which hours it leaves out: after a restart, and for an entry that is gone. */
 
 import test from 'ava';
-import { waitFor } from '../../base/common/async.js';
-import type { BurnReport } from '../../burn/common/burnReport.js';
-import { exampleFiles } from '../node/exampleFiles.js';
-import { LocalSystem } from '../node/localSystem.js';
+import { waitFor } from '../../../base/common/async.js';
+import type { BurnReport } from '../../../burn/common/burnReport.js';
+import { exampleFiles } from '../../../proof/node/exampleFiles.js';
+import { LocalSystem } from '../../../proof/node/localSystem.js';
 
 /** Longer than processes are remembered after their last sign of life. */
 const forgottenWithinMs = 20_000;
