Place by what tasks were measured to use, not by what they declare

Cause: agents learned the use of a route's tasks, but the home placed by declared needs alone.

Change: an agent tells the estimate of a route (once three tasks of it were measured, and again when it has changed by 10%) on the outcomes that it sends anyway; the home joins the workers' estimates and new jobs of the route need that. Accelerators are not measured. The estimate is bounded by the smallest worker that has run the route, so that no job is refused as never fitting because of it. Ruled out: the use of each task on each outcome (bytes for each task), and changing the needs of jobs in line (their tasks are on the workers' accounts under the old ones), so jobs of the first second still wait by their declared sizes.

Seen red: both new tests in decisions.test.ts (1 start in place of 4, 4 in place of 2).

--- a/src/agent/common/agentCore.ts
+++ b/src/agent/common/agentCore.ts
@@ -71,7 +71,7 @@
 	const { tables } = tick;
 	match(input)
 		.with({ kind: 'entryConnected' }, ({ connectionId, entryId, incarnation }) => {
-			const entry = { connectionId, entryId, incarnation, isIntroduced: false };
+			const entry = { connectionId, entryId, incarnation, isIntroduced: false, toldUsageVersion: 0 };
 			tables.entries.set(connectionId, entry);
 			tick.connected.add(entry);
 		})
--- a/src/agent/common/agentTables.ts
+++ b/src/agent/common/agentTables.ts
@@ -38,6 +38,8 @@
 	readonly connectionId: number;
 	/** Whether the first state, with the known tasks, was sent. */
 	isIntroduced: boolean;
+	/** Version of the measured use of routes that the entry was told. */
+	toldUsageVersion: number;
 }
 
 /** The part of the agent's state that entries are told; sent again when it changes. */
--- a/src/agent/common/systems/outcomeSystem.ts
+++ b/src/agent/common/systems/outcomeSystem.ts
@@ -5,7 +5,7 @@
  * cross a later attempt of the same task that the entry has sent in the meantime, and be taken for its refusal.
  */
 
-import type { TaskOutcome } from '../../../protocol/common/agentMessages.js';
+import type { RouteUsage, TaskOutcome } from '../../../protocol/common/agentMessages.js';
 import type { AgentTick, EntryRow } from '../agentTables.js';
 import { recipientKey, type TaskRecord } from '../taskRecord.js';
 import { identityOf } from './taskEnds.js';
@@ -67,7 +67,13 @@
 	let frameChars = 0;
 	const flush = (): void => {
 		if (frame.length > 0) {
-			const message = { kind: 'taskOutcomes', revision, outcomes: frame } as const;
+			const usage = newUsage(tick, connectionId);
+			const message = {
+				kind: 'taskOutcomes',
+				revision,
+				outcomes: frame,
+				...(usage.length === 0 ? {} : { usage }),
+			} as const;
 			tick.outputs.push({ kind: 'send', connectionId, message });
 		}
 		frame = [];
@@ -82,3 +88,15 @@
 	}
 	flush();
 }
+
+/** Measured use that the entry on a connection has not heard of; it rides on outcomes and costs no frame. */
+function newUsage(tick: AgentTick, connectionId: number): readonly RouteUsage[] {
+	const { routeUsage, entries } = tick.tables;
+	const entry = entries.get(connectionId);
+	if (entry === undefined || entry.toldUsageVersion === routeUsage.version) {
+		return [];
+	}
+	const usage = routeUsage.changesSince(entry.toldUsageVersion);
+	entry.toldUsageVersion = routeUsage.version;
+	return usage;
+}
--- a/src/entry/common/jobLife.ts
+++ b/src/entry/common/jobLife.ts
@@ -1,6 +1,6 @@
 /** Steps in the life of a job that several systems take: start of its account, ends of its tasks, its answer. */
 
-import type { JobAnswer } from '../../protocol/common/jobs.js';
+import type { JobAnswer, JobSubmission } from '../../protocol/common/jobs.js';
 import { taskKey } from '../../protocol/common/jobs.js';
 import type { ClaimRequest } from '../../protocol/common/keeperMessages.js';
 import type { EntryTables } from './entryTables.js';
@@ -8,6 +8,12 @@
 import type { EntryOutputs } from './tickTypes.js';
 import { mustStop } from './verdict.js';
 
+/** A submission whose tasks need what the tasks of its route were measured to use, where that is known. */
+export function withExpectedNeeds(tables: EntryTables, submission: JobSubmission): JobSubmission {
+	const needs = tables.routeOf(submission.route).measuredNeeds.expected(submission.needs);
+	return needs === submission.needs ? submission : { ...submission, needs };
+}
+
 /** Enters a job into the tables. */
 export function addJob(tables: EntryTables, job: JobRow): void {
 	tables.jobs.set(job.submissionId, job);
--- a/src/entry/common/routeState.ts
+++ b/src/entry/common/routeState.ts
@@ -1,5 +1,7 @@
 /** What this entry keeps for a route beside the operators' row. */
 
+import { MeasuredNeeds } from './measuredNeeds.js';
+
 /** Weight of the newest outcome in a worker's share of failures. */
 const outcomeWeight = 0.1;
 
@@ -7,6 +9,7 @@
 export class RouteState {
 	/** Tasks that are queued or running. */
 	openTasks = 0;
+	readonly measuredNeeds = new MeasuredNeeds();
 	private readonly _failureShares = new Map<string, number>();
 	private _sumOfShares = 0;
 
@@ -27,6 +30,7 @@
 
 	/** Forgets a worker that is gone. */
 	forgetWorker(workerId: string): void {
+		this.measuredNeeds.forget(workerId);
 		this._sumOfShares -= this._failureShares.get(workerId) ?? 0;
 		this._failureShares.delete(workerId);
 	}
--- a/src/entry/common/systems/admissionSystem.ts
+++ b/src/entry/common/systems/admissionSystem.ts
@@ -3,7 +3,7 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import type { JobAnswer, JobSubmission } from '../../../protocol/common/jobs.js';
 import type { EntryTables } from '../entryTables.js';
-import { addJob, addReader } from '../jobLife.js';
+import { addJob, addReader, withExpectedNeeds } from '../jobLife.js';
 import { JobRow, type PendingRefusal } from '../jobRow.js';
 import type { EntryInput } from '../tickTypes.js';
 import { alreadySubmitted, notRun } from '../verdict.js';
@@ -47,7 +47,7 @@
 		const message = `The route "${submission.route}" was removed from the tables.`;
 		return Err(notRun({ reason: 'noWorkers', message }));
 	}
-	const job = new JobRow(submission, row.pool, tables.nowMs);
+	const job = new JobRow(withExpectedNeeds(tables, submission), row.pool, tables.nowMs);
 	addJob(tables, job);
 	addReader(tables, job, readerId, jobId);
 	return Ok(job);
--- a/src/entry/common/systems/outcomeSystem.ts
+++ b/src/entry/common/systems/outcomeSystem.ts
@@ -3,6 +3,7 @@
 import { match } from 'ts-pattern';
 import type {
 	NotStartedReason,
+	RouteUsage,
 	TaskEnd,
 	TaskOutcome,
 	TaskOutcomesMessage,
@@ -39,6 +40,7 @@
 	}
 	tables.stats.outcomeFrames += 1;
 	worker.reportedLoad = message.openTasks ?? worker.assigned.size;
+	noteUsage(tables, worker, message.usage ?? []);
 	for (const outcome of message.outcomes) {
 		applyOutcome(tables, worker, outcome, outputs);
 	}
@@ -47,6 +49,16 @@
 	}
 }
 
+function noteUsage(tables: EntryTables, worker: WorkerRow, usage: readonly RouteUsage[]): void {
+	const { offer } = worker;
+	if (offer === undefined) {
+		return;
+	}
+	for (const measured of usage) {
+		tables.routeOf(measured.route).measuredNeeds.note(worker.processId, measured, offer);
+	}
+}
+
 /** Acknowledges outcomes that have waited long enough for company. */
 export function acknowledgeOldOutcomes(tables: EntryTables): void {
 	for (const worker of tables.workers.values()) {
--- a/src/entry/common/systems/relaySystem.ts
+++ b/src/entry/common/systems/relaySystem.ts
@@ -7,7 +7,7 @@
 	RelayAnswer,
 } from '../../../protocol/common/entryMessages.js';
 import type { JobAnswer, JobSubmission } from '../../../protocol/common/jobs.js';
-import { addJob, finishJob } from '../jobLife.js';
+import { addJob, finishJob, withExpectedNeeds } from '../jobLife.js';
 import { JobRow } from '../jobRow.js';
 import { notRun } from '../verdict.js';
 import { isOtherJob, keyReusedAnswer, recall, staleTables } from './admissionSystem.js';
@@ -96,7 +96,7 @@
 	if (tables.isStale) {
 		return notRun(staleTables);
 	}
-	const job = new JobRow(submission, row.pool, tables.nowMs);
+	const job = new JobRow(withExpectedNeeds(tables, submission), row.pool, tables.nowMs);
 	job.relayers.add(relayer);
 	addJob(tables, job);
 	routeJob(context, job);
--- a/src/entry/test/decisions.test.ts
+++ b/src/entry/test/decisions.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import type { Tables } from '../../declarations/common/tables.js';
-import type { TaskEnd } from '../../protocol/common/agentMessages.js';
+import type { RouteUsage, TaskEnd } from '../../protocol/common/agentMessages.js';
 import { noNeeds, type JobSubmission } from '../../protocol/common/jobs.js';
 import type { EntryMember } from '../../protocol/common/keeperMessages.js';
 import { EntryCore } from '../common/entryCore.js';
@@ -97,6 +97,12 @@
 		);
 	}
 
+	/** Tells what a worker measured of the tasks of a route. */
+	measure(worker: number, usage: RouteUsage): void {
+		const message = { kind: 'taskOutcomes', revision: 1, outcomes: [], usage: [usage] } as const;
+		this.tick([{ kind: 'agentMessage', sessionId: worker, message }]);
+	}
+
 	/** Ends every task that was started, in order. */
 	endAll(endOf: (worker: number) => TaskEnd): void {
 		for (const { worker, submissionId, taskIndex } of this.started.splice(0)) {
@@ -198,3 +204,35 @@
 	}
 	t.like(bench.answers.at(-1), { answer: { status: 'complete' } });
 });
+
+test('measured use takes the place of declared sizes, so that slots are not left idle', (t) => {
+	const bench = new Bench(1, 4);
+	const needs = { cores: 8, memoryBytes: 2 ** 30, accelerators: 0 };
+	bench.submit(submissionOf('declared', 4, { needs }));
+	t.is(bench.started.length, 1, 'Until something was measured, declared sizes bound what runs together.');
+	bench.endAll(() => done);
+	bench.endAll(() => done);
+	bench.endAll(() => done);
+	bench.endAll(() => done);
+	bench.measure(0, { route: 'lookup', cores: 1, memoryBytes: 1000 });
+	bench.submit(submissionOf('measured', 4, { needs }));
+	t.is(bench.started.length, 4);
+	bench.endAll(() => done);
+	bench.submit(submissionOf('tooLarge', 1, { needs: { ...needs, cores: 1000 } }));
+	t.is(
+		bench.started.length,
+		1,
+		'A declared size that no worker has is no reason to refuse what was measured.',
+	);
+	bench.endAll(() => done);
+	const accelerated = { ...needs, accelerators: 1 };
+	bench.submit(submissionOf('accelerated', 1, { needs: accelerated }));
+	t.is(bench.started.length, 0, 'Accelerators are not measured.');
+});
+
+test('measured use that exceeds what was declared holds starts back', (t) => {
+	const bench = new Bench(1, 4);
+	bench.measure(0, { route: 'lookup', cores: 4, memoryBytes: 1000 });
+	bench.submit(submissionOf('small', 4));
+	t.is(bench.started.length, 2);
+});
--- a/src/protocol/common/agentMessages.ts
+++ b/src/protocol/common/agentMessages.ts
@@ -186,6 +186,13 @@
 	readonly end: TaskEnd;
 }
 
+/** What tasks of a route were measured to use at one worker. */
+export interface RouteUsage {
+	readonly route: string;
+	readonly cores: number;
+	readonly memoryBytes: number;
+}
+
 /**
  * Tells the entry that sent the starts how tasks ended. After a reconnect, ends that were not acknowledged are told
  * again, but for `notStarted`: an entry asks by `fenceTasks` what became of tasks whose answers may be lost.
@@ -196,6 +203,8 @@
 	readonly outcomes: readonly TaskOutcome[];
 	/** Tasks, of all entries, that are queued or running at the agent; for policies that place by cached load. */
 	readonly openTasks?: number | undefined;
+	/** Estimates that were not told on this connection before; absent when there is nothing new. */
+	readonly usage?: readonly RouteUsage[] | undefined;
 }
 
 /** Messages that an entry sends to an agent. */
