--- a/src/entry/test/teamOrder.test.ts
+++ b/src/entry/test/teamOrder.test.ts
@@ -25,7 +25,9 @@
 		needs: noNeeds,
 		payloadsJson: Array.from({ length: taskCount }, () => '{}'),
 	};
-	pool.enqueue(new JobRow(submission, pool.name, nowMs), 1, nowMs);
+	const job = new JobRow(submission, pool.name, nowMs);
+	job.enter('placing', nowMs);
+	pool.enqueue(job, 1, nowMs);
 }
 
 /** Teams in the order in which their tasks get the next slots. */
