Lease team quotas by demand between the homes

Cause: a quota was divided evenly among the homes, so a team that used one home's pools got a part only, and two directories in force at once could exceed it. Change: the home of the first pool grants the quotas of all teams. A part is leased for 700 ms, half of it assured for 6 s; the holder counts from its question, the granter from its answer. A new granter waits until no earlier lease can be in force, or takes the earlier one's accounts. One message for all teams; none depends on the number of tasks. The simulator now counts the age of an entry's tables from what has arrived, not from what was sent. Price: a lost granter leaves a team with what is assured for some 2.7 s; tasks that run outlast their part. Open: a per-region granter at two-year size.

--- a/src/entry/common/entryCore.ts
+++ b/src/entry/common/entryCore.ts
@@ -22,7 +22,7 @@
 import { mayGoOn, stopLateHandOvers, takeEarlyHandOver } from './systems/handOverSystem.js';
 import { acknowledgeOldOutcomes, applyOutcomes } from './systems/outcomeSystem.js';
 import { placeTasks } from './systems/placementSystem.js';
-import { divideQuotas } from './systems/quotaSystem.js';
+import { followGranter, leaseQuotas, noteBlindness } from './systems/quotaSystem.js';
 import { applyEntryMessage } from './systems/relaySystem.js';
 import {
 	applyClaim,
@@ -66,7 +66,10 @@
 	tick(inputs: readonly EntryInput[], clock: TickClock): EntryOutputs {
 		const { tables } = this;
 		const outputs = emptyOutputs();
+		const { nowMs: lastTickMs, tablesAgeMs: lastAgeMs } = tables;
 		tables.nowMs = clock.nowMs;
+		tables.tablesAgeMs = clock.tablesAgeMs;
+		noteBlindness(tables, lastTickMs, lastAgeMs);
 		tables.startedMs ??= clock.nowMs;
 		this._noteFreshness(clock, outputs);
 		const context: RoutingContext = { tables, outputs, usesHome: this._policy.usesHome };
@@ -88,6 +91,9 @@
 			routeWaitingJobs(context);
 		}
 		placeTasks(tables, this._policy);
+		if (leaseQuotas(tables, this._policy.usesHome)) {
+			placeTasks(tables, this._policy);
+		}
 		this._answerJobs(outputs);
 		tables.outbox.flush(tables.revision, tables.epoch, outputs.frames);
 		outputs.nextTickMs = Math.min(tables.deadlines.nextMs, tables.nowMs + maxTickIntervalMs);
@@ -119,7 +125,7 @@
 			.with({ kind: 'controlState' }, ({ state }) => {
 				const hasMissed = applyControlState(tables, state);
 				tables.mayHomesHaveMoved = true;
-				divideQuotas(tables, this._policy.usesHome);
+				followGranter(tables);
 				this._followHomes(context, hasMissed);
 			})
 			.with({ kind: 'peerOpened' }, ({ sessionId, peer }) => {
--- a/src/entry/common/entryTables.ts
+++ b/src/entry/common/entryTables.ts
@@ -11,15 +11,10 @@
 import { KeyMemory } from './keyMemory.js';
 import { Outbox } from './outbox.js';
 import { PoolState } from './poolState.js';
+import { QuotaState } from './quotaState.js';
 import { RouteState } from './routeState.js';
 import type { WorkerRow } from './workerRow.js';
 
-/** How team quotas are divided among entries. */
-export interface QuotaParts {
-	readonly count: number;
-	readonly index: number;
-}
-
 /** What the core takes from the process's settings. */
 export interface EntryCoreOptions {
 	readonly processId: string;
@@ -47,6 +42,8 @@
 	/** Whether the control state is too old to take new work. */
 	isStale = true;
 	nowMs = 0;
+	/** Greatest possible age of the control state in this tick. */
+	tablesAgeMs = Infinity;
 	startedMs: number | undefined;
 
 	/** Open jobs by submission. */
@@ -70,8 +67,8 @@
 	readonly deadlines = new DeadlineQueue();
 	/** Jobs that wait for a home or for a takeover. */
 	readonly waitingJobs = new Set<JobRow>();
-	/** Entries that share the team quotas, and this entry's place among them. */
-	quotaParts: QuotaParts = { count: 1, index: 0 };
+	/** Parts of the team quotas that this entry has leased or grants. */
+	readonly quotas = new QuotaState();
 	/** Jobs that wait until a new home has taken a hand-over. */
 	readonly handedOverJobs = new Set<JobRow>();
 	/** Whether a relayed job's home may have moved or come back since the last tick. */
--- a/src/entry/common/systems/placementSystem.ts
+++ b/src/entry/common/systems/placementSystem.ts
@@ -55,6 +55,7 @@
 /** Places one task of a team. False when the team can place nothing more in this tick. */
 function placeNext(tables: EntryTables, pool: PoolState, queue: TeamQueue, chooser: IWorkerChooser): boolean {
 	if ((tables.runningByTeam.get(queue.team) ?? 0) >= teamShare(tables, queue.team)) {
+		tables.quotas.pressing.add(queue.team);
 		return false;
 	}
 	let worker: WorkerRow | undefined;
--- a/src/entry/common/systems/relaySystem.ts
+++ b/src/entry/common/systems/relaySystem.ts
@@ -13,6 +13,7 @@
 import { isOtherJob, keyReusedAnswer, recall, staleTables } from './admissionSystem.js';
 import { cancel, cancelByJobId } from './cancelSystem.js';
 import { goOnAfterHandOver, takeHandOver } from './handOverSystem.js';
+import { takeQuotaDemand, takeQuotaGrant, takeQuotaHandOver } from './quotaSystem.js';
 import { homeMoved, routeJob, waitForHome, type RoutingContext } from './routingSystem.js';
 
 /** Pause after an entry said that it isn't the home: one of the two has an older directory. */
@@ -53,6 +54,15 @@
 		.with({ kind: 'handOverTaken' }, (taken) => {
 			goOnAfterHandOver(context.tables, taken);
 		})
+		.with({ kind: 'quotaDemand' }, (demand) => {
+			takeQuotaDemand(context.tables, sessionId, peer, demand);
+		})
+		.with({ kind: 'quotaGrant' }, (granted) => {
+			takeQuotaGrant(context.tables, granted);
+		})
+		.with({ kind: 'quotaHandOver' }, (handedOver) => {
+			takeQuotaHandOver(context.tables, handedOver);
+		})
 		.exhaustive();
 }
 
--- a/src/entry/common/teamQueue.ts
+++ b/src/entry/common/teamQueue.ts
@@ -29,6 +29,18 @@
 		return this._jobs[0]?.receivedMs ?? Infinity;
 	}
 
+	/** Tasks in line, counted until there are as many as `limit`. */
+	countTasks(limit: number): number {
+		let count = 0;
+		for (const job of this._jobs) {
+			if (count >= limit) {
+				break;
+			}
+			count += job.isPlaceable ? job.queuedCount : 0;
+		}
+		return count;
+	}
+
 	/** Adds a job; one of which tasks came back goes first. */
 	push(job: JobRow): void {
 		if (job.isInLine) {
--- a/src/entry/node/peerHub.ts
+++ b/src/entry/node/peerHub.ts
@@ -23,6 +23,9 @@
 	'cancelJobs',
 	'handOver',
 	'handOverTaken',
+	'quotaDemand',
+	'quotaGrant',
+	'quotaHandOver',
 ]);
 
 interface DialledEntry {
--- a/src/entry/test/promisesRun.ts
+++ b/src/entry/test/promisesRun.ts
@@ -7,7 +7,7 @@
 const runMs = 12_000;
 
 /** Faults of one run, as its seed gives them. */
-function injectFaults(system: SimulatedSystem, random: SeededRandom): void {
+export function injectFaults(system: SimulatedSystem, random: SeededRandom): void {
 	const faults: (() => void)[] = [
 		() => {
 			system.breakConnection();
--- a/src/entry/test/simulatedSystem.ts
+++ b/src/entry/test/simulatedSystem.ts
@@ -27,7 +27,10 @@
 	/** Whether the process is stopped; input waits. */
 	isFrozen: boolean;
 	isDraining: boolean;
+	/** When the keepers last heard from the entry. */
 	heardAtMs: number;
+	/** Time at the keepers of the newest directory that the entry has got. */
+	freshAtMs: number;
 	inputs: EntryInput[];
 	nextTimerMs: number;
 }
@@ -54,6 +57,12 @@
 	readonly jitterMs: number;
 	readonly policy?: PolicyName;
 	readonly tables?: Tables;
+	/** Pools of the agents, by turns. */
+	readonly pools?: readonly string[];
+	/** Share of the messages about quotas that come once more, up to a second later. */
+	readonly doubledShare?: number;
+	/** Called with each message that an entry sends, and its session. */
+	readonly onSent?: (sessionId: number, message: EntryToAgentMessage | EntryToEntryMessage) => void;
 	/** Time that a task runs. */
 	readonly runMs: (random: SeededRandom) => number;
 	readonly failureShare?: number;
@@ -286,6 +295,7 @@
 			isFrozen: false,
 			isDraining: false,
 			heardAtMs: this.nowMs,
+			freshAtMs: this.nowMs,
 			inputs: [],
 			nextTimerMs: Infinity,
 		};
@@ -328,8 +338,13 @@
 		}
 		const directory = this._directory;
 		for (const entry of this.entries) {
+			if (!entry.isCutOff && !entry.isFrozen && entry.core.tables.epoch === directory.epoch) {
+				entry.freshAtMs = this.nowMs;
+			}
 			if (!entry.isCutOff && entry.core.tables.epoch !== directory.epoch) {
+				const sentMs = this.nowMs;
 				this.after(this.random.integer(0, 40), () => {
+					entry.freshAtMs = sentMs;
 					this._push(entry, { kind: 'controlState', state: { tables: this._tables, directory } });
 				});
 			}
@@ -354,7 +369,7 @@
 			dataCentre: 'dc-1',
 			rack: 'rack-1',
 			offer: {
-				pool,
+				pool: this._poolOf(name),
 				slots: this._options.slots,
 				connections: 64,
 				cores: 32,
@@ -367,6 +382,11 @@
 		});
 	}
 
+	private _poolOf(agent: string): string {
+		const { pools = [pool] } = this._options;
+		return pools[Number(agent.split('-')[1]) % pools.length] ?? pool;
+	}
+
 	private _connectEntries(one: SimulatedEntry, other: SimulatedEntry): void {
 		if (one === other || !one.isAlive || !other.isAlive) {
 			return;
@@ -468,14 +488,27 @@
 		if (session === undefined) {
 			return;
 		}
+		this._options.onSent?.(sessionId, message);
 		session.toPeerMs = Math.max(session.toPeerMs, this.nowMs + this._delayMs());
+		this._deliver(session, message, session.toPeerMs - this.nowMs);
+		const { doubledShare = 0 } = this._options;
+		if (message.kind.startsWith('quota') && doubledShare > 0 && this.random.next() < doubledShare) {
+			this._deliver(session, message, session.toPeerMs - this.nowMs + this.random.integer(0, 1000));
+		}
+	}
+
+	private _deliver(
+		session: Session,
+		message: EntryToAgentMessage | EntryToEntryMessage,
+		waitMs: number,
+	): void {
 		const { peer } = session;
-		this.after(session.toPeerMs - this.nowMs, () => {
+		this.after(waitMs, () => {
 			if (!session.isOpen) {
 				return;
 			}
 			if ('agent' in peer) {
-				this._agents.get(peer.agent)?.agent.receive(sessionId, message as EntryToAgentMessage);
+				this._agents.get(peer.agent)?.agent.receive(session.id, message as EntryToAgentMessage);
 			} else {
 				this._push(peer.session.entry, {
 					kind: 'entryMessage',
@@ -505,7 +538,7 @@
 		entry.inputs = [];
 		const outputs = entry.core.tick(inputs, {
 			nowMs: this.nowMs,
-			tablesAgeMs: this.nowMs - entry.heardAtMs,
+			tablesAgeMs: this.nowMs - entry.freshAtMs,
 		});
 		for (const { sessionId, message } of outputs.frames) {
 			this._send(sessionId, structuredClone(message));
--- a/src/protocol/common/entryMessages.ts
+++ b/src/protocol/common/entryMessages.ts
@@ -64,6 +64,60 @@
 	readonly declinedIds: readonly string[];
 }
 
+/** Asks the granter for parts of team quotas; one message for all teams. The lists have one item a team. */
+export interface QuotaDemandMessage {
+	readonly kind: 'quotaDemand';
+	readonly revision: number;
+	readonly epoch: number;
+	/** Number of the question; greater in each later one of the sender. */
+	readonly seq: number;
+	readonly teams: readonly string[];
+	/** Tasks that the sender may have at workers by its present lease; 0 without one. */
+	readonly leased: readonly number[];
+	/** Tasks of these that are leased for longer. */
+	readonly assured: readonly number[];
+	/** Tasks that it has at workers. */
+	readonly running: readonly number[];
+	/** Tasks that wait for a worker. */
+	readonly queued: readonly number[];
+}
+
+/** Answers {@link QuotaDemandMessage}: the parts that the asker may use, counted from its question. */
+export interface QuotaGrantMessage {
+	readonly kind: 'quotaGrant';
+	readonly revision: number;
+	readonly epoch: number;
+	/** Number of the question. */
+	readonly seq: number;
+	/** Tasks a team, in the order of the question; null leaves the earlier lease as it is. */
+	readonly tasks: readonly (number | null)[];
+	/** Tasks of these that are leased for longer; null leaves those that are as they are. */
+	readonly assured: readonly (number | null)[];
+}
+
+/** Gives all leases of team quotas to the next granter. The sender grants nothing after it. */
+export interface QuotaHandOverMessage {
+	readonly kind: 'quotaHandOver';
+	readonly revision: number;
+	/** Epoch of the directory that makes the receiver the granter. */
+	readonly epoch: number;
+	/** Time for which leases of an earlier granter may be missing here, and nothing may be granted. */
+	readonly closedForMs: number;
+	/** Time for which parts that an earlier granter has assured may be missing here. */
+	readonly unknownForMs: number;
+	readonly teams: readonly {
+		readonly team: string;
+		readonly parts: readonly {
+			/** Run of the entry that has leased the part. */
+			readonly holder: string;
+			readonly tasks: number;
+			readonly remainingMs: number;
+			readonly assured: number;
+			readonly assuredRemainingMs: number;
+		}[];
+	}[];
+}
+
 /** Messages between entries. */
 export type EntryToEntryMessage =
 	| RelayJobsMessage
@@ -71,4 +125,7 @@
 	| RelayCancelMessage
 	| CancelJobsMessage
 	| HandOverMessage
-	| HandOverTakenMessage;
+	| HandOverTakenMessage
+	| QuotaDemandMessage
+	| QuotaGrantMessage
+	| QuotaHandOverMessage;
