Metrics of keepers over StatsD, and how old each process's tables are in status

Keepers sent no metrics, and 'yuccaarch status' showed revisions alone, so that a process whose tables were current but unconfirmed looked well. Keepers send term, lead, leader changes, commit index, revision, epoch, age, subscribers, claims by outcome, waiting claims and the time of each sync. An age without a bound is sent as isFresh 0 and not as a number. Processes tell the age of their tables when they renew their lease (a few bytes on a message that goes anyway); the status command joins what each keeper knows of its own subscribers.

Seen red: keeperMetrics.test.ts found that the first leader was not counted, since the log of a lone keeper finds its leader while it is opened. The test of ages was written with its code and was not seen red by itself.

--- a/src/code/node/commands/keeperCommand.ts
+++ b/src/code/node/commands/keeperCommand.ts
@@ -1,14 +1,18 @@
 /** `yuccaarch keeper`: Runs a keeper, which stores the tables and claims. */
 
 import { randomUUID } from 'node:crypto';
+import type { FileHandle } from 'node:fs/promises';
 import { defineCommand } from 'citty';
 import { monotonicClock } from '../../../base/common/clock.js';
 import { keeperSettingsSchema, type KeeperSettings } from '../../../keeper/common/keeperSettings.js';
+import { KeeperMetrics } from '../../../keeper/common/keeperMetrics.js';
 import { KeeperDaemon, type OpenKeeperLog } from '../../../keeper/node/keeperDaemon.js';
 import { exitCodes, reportSettingsError, runDaemon } from '../../../platform/daemon/node/daemon.js';
 import type { ILogService } from '../../../platform/log/common/log.js';
 import { ConsolaLogService } from '../../../platform/log/node/consolaLogService.js';
+import { createMetricsService } from '../../../platform/metrics/node/statsdMetricsService.js';
 import { loadSettings } from '../../../platform/settings/node/loadSettings.js';
+import { syncFileData } from '../../../platform/storage/node/diskAccess.js';
 import { defaultConnectionLimits, type PeerIdentity } from '../../../platform/transport/common/transport.js';
 import { ReplicatedLog } from '../../../replication/node/replicatedLog.js';
 
@@ -35,6 +39,8 @@
 	const { processId } = settings;
 	const log = new ConsolaLogService({ role: 'keeper', instance: processId }, settings.log);
 	const identity: PeerIdentity = { role: 'keeper', processId, incarnation: randomUUID() };
+	const service = createMetricsService(settings.metrics, { role: 'keeper', instance: processId });
+	const metrics = new KeeperMetrics(service);
 	await runDaemon({
 		log,
 		drainTimeoutMs,
@@ -43,7 +49,8 @@
 				settings,
 				identity,
 				events: log,
-				openLog: createOpenLog(settings, identity, log),
+				openLog: createOpenLog(settings, identity, log, metrics),
+				metrics,
 			});
 			keeper.onDidStop(() => {
 				// What is not synced must not be served: the process ends instead of carrying on.
@@ -59,7 +66,12 @@
 	});
 }
 
-function createOpenLog(settings: KeeperSettings, identity: PeerIdentity, log: ILogService): OpenKeeperLog {
+function createOpenLog(
+	settings: KeeperSettings,
+	identity: PeerIdentity,
+	log: ILogService,
+	metrics: KeeperMetrics,
+): OpenKeeperLog {
 	return (stateMachine, boundAddress) =>
 		ReplicatedLog.open({
 			dataFolder: settings.dataFolder,
@@ -73,5 +85,12 @@
 			clock: monotonicClock,
 			log,
 			random: Math.random,
+			syncFile: (handle) => syncMeasured(handle, metrics),
 		});
 }
+
+async function syncMeasured(handle: FileHandle, metrics: KeeperMetrics): Promise<void> {
+	const beginMs = performance.now();
+	await syncFileData(handle);
+	metrics.noteSync(performance.now() - beginMs);
+}
--- a/src/code/node/commands/statusCommand.ts
+++ b/src/code/node/commands/statusCommand.ts
@@ -2,7 +2,7 @@
 
 import { defineCommand } from 'citty';
 import { operatorExitCodes } from '../../../operator/common/operatorExitCodes.js';
-import { describeStatus } from '../../../operator/common/statusText.js';
+import { describeStatus, withAges } from '../../../operator/common/statusText.js';
 import { describeError } from '../../../operator/node/applyOperation.js';
 import { connectionArguments, runOperatorCommand } from '../operator/operatorArguments.js';
 
@@ -21,7 +21,7 @@
 			if (read.isErr()) {
 				return describeError(read.error);
 			}
-			const status = read.value;
+			const status = withAges(read.value, await client.statuses());
 			return { exitCode: operatorExitCodes.noChange, text: describeStatus(status), json: status };
 		});
 	},
--- /dev/null
+++ b/src/code/node/test/keeperMetrics.test.ts
@@ -0,0 +1,54 @@
+/** A keeper's metrics as they leave the process, over StatsD. */
+
+import { createSocket } from 'node:dgram';
+import test from 'ava';
+import { waitFor } from '../../../base/common/async.js';
+import { exampleFiles } from '../../../proof/node/exampleFiles.js';
+import { LocalSystem } from '../../../proof/node/localSystem.js';
+
+const expectedMetrics = [
+	/^yuccaarch\.keeper\.term:[1-9]\d*\|g\|#.*instance:keeper-1/m,
+	/^yuccaarch\.keeper\.isLeader:1\|g/m,
+	/^yuccaarch\.keeper\.leaderChanges:1\|c/m,
+	/^yuccaarch\.keeper\.revision:1\|g/m,
+	/^yuccaarch\.keeper\.ageMs:\d+\|g/m,
+	/^yuccaarch\.keeper\.isFresh:1\|g/m,
+	/^yuccaarch\.keeper\.syncMs:[\d.]+\|ms/m,
+	/^yuccaarch\.keeper\.subscribers:1\|g/m,
+	/^yuccaarch\.keeper\.claims\.waiting:\d+\|g/m,
+];
+
+test('a keeper tells term, leader, revision, age, syncs, claims and subscribers', async (t) => {
+	const socket = createSocket('udp4');
+	const datagrams: string[] = [];
+	let isListening = true;
+	socket.on('message', (message) => {
+		datagrams.push(message.toString());
+	});
+	await new Promise<void>((resolve) => {
+		socket.bind(0, '127.0.0.1', resolve);
+	});
+	const address = `127.0.0.1:${socket.address().port}`;
+	const system = await LocalSystem.start({
+		keepers: 1,
+		entries: 1,
+		agents: [],
+		keeperSettings: { metrics: { address } },
+	});
+	try {
+		await system.apply([exampleFiles.registroRioplatense]);
+		for (const metric of expectedMetrics) {
+			await waitFor(`${metric.source} is sent`, 20_000, () => metric.test(datagrams.join('\n')));
+		}
+		socket.close();
+		isListening = false;
+		// Nobody listens any more: the keeper works on.
+		const { exit } = await system.runOperator('status', []);
+		t.is(exit.code, 0);
+	} finally {
+		if (isListening) {
+			socket.close();
+		}
+		await system.close();
+	}
+});
--- a/src/code/node/test/operatorOperations.test.ts
+++ b/src/code/node/test/operatorOperations.test.ts
@@ -12,6 +12,7 @@
 	type TestKeeper,
 } from '../../../keeper/node/test/keeperHarness.js';
 import { waitFor } from '../../../base/common/async.js';
+import { describeStatus, withAges } from '../../../operator/common/statusText.js';
 import { applyDeclaration, changeTables } from '../../../operator/node/applyOperation.js';
 import { drainProcess } from '../../../operator/node/drainOperation.js';
 import { OperatorClient } from '../../../operator/node/operatorClient.js';
@@ -167,6 +168,21 @@
 	});
 });
 
+test('status tells how old the tables of each process are, whichever keeper it is subscribed to', async (t) => {
+	await withKeepers(['keeper-1', 'keeper-2'], async (harness, keepers, client) => {
+		const [first, second] = keepers;
+		harness.startClient('entry-1', 'entry', [first!]);
+		harness.startClient('agent-1', 'agent', [second!]);
+		await waitFor('each process has renewed its lease', 10_000, async () => {
+			const status = await client.status();
+			const { processes } = withAges(status.unwrap(), await client.statuses());
+			const ages = processes.map(({ ageMs }) => ageMs ?? Infinity);
+			return processes.length === 4 && ages.every((ageMs) => ageMs < 3000);
+		});
+		t.regex(describeStatus((await client.status()).unwrap()), /AGE[^]*entry-1 .* \d+ ms {2}live/);
+	});
+});
+
 test('drain and its undo are idempotent, and win over other changes', async (t) => {
 	await withKeepers(['keeper-1'], async (_harness, _keepers, client) => {
 		t.is((await drainProcess(client, 'agent-1', false, options)).exitCode, 10);
--- a/src/control/common/memberRegistry.ts
+++ b/src/control/common/memberRegistry.ts
@@ -20,6 +20,8 @@
 	readonly subscribedAtMs: number;
 	readonly heardAtMs: number;
 	readonly hasLeft: boolean;
+	/** Greatest possible age of the process's tables when it renewed its lease last; known to its own server only. */
+	readonly ageMs?: number | undefined;
 	readonly status: MemberStatus;
 }
 
--- a/src/control/node/controlPlaneClient.ts
+++ b/src/control/node/controlPlaneClient.ts
@@ -291,7 +291,9 @@
 			return;
 		}
 		const { revisionInForce } = this._status;
-		this._send({ kind: 'renewLease', probe: this._nextProbe(), revisionInForce });
+		const ageMs = this.ageMs();
+		const bounded = Number.isFinite(ageMs) ? { ageMs: Math.ceil(ageMs) } : {};
+		this._send({ kind: 'renewLease', probe: this._nextProbe(), revisionInForce, ...bounded });
 		this._reports.send();
 	}
 
--- a/src/control/node/subscriptionService.ts
+++ b/src/control/node/subscriptionService.ts
@@ -11,6 +11,7 @@
 	KeeperLeavingMessage,
 	MemberReportsMessage,
 	MemberStatus,
+	RenewLeaseMessage,
 	ReleaseClaimsMessage,
 	SubscribeMessage,
 } from '../../protocol/common/keeperMessages.js';
@@ -110,8 +111,8 @@
 			.with({ kind: 'memberStatus' }, ({ status, probe }) => {
 				this._renew(connection, probe, status);
 			})
-			.with({ kind: 'renewLease' }, ({ probe, revisionInForce }) => {
-				this._renewUnchanged(connection, probe, revisionInForce);
+			.with({ kind: 'renewLease' }, (message) => {
+				this._renewUnchanged(connection, message);
 			})
 			.with({ kind: 'leave' }, () => {
 				this._leave(connection);
@@ -131,11 +132,12 @@
 	}
 
 	/** Renews a lease whose status is as it was, but perhaps for the revision. */
-	private _renewUnchanged(connection: IConnection, probe: number, revisionInForce: number): void {
+	private _renewUnchanged(connection: IConnection, message: RenewLeaseMessage): void {
+		const { probe, revisionInForce, ageMs } = message;
 		const status = this._recordOf(connection)?.status;
 		if (status !== undefined) {
 			const isSame = status.revisionInForce === revisionInForce;
-			this._renew(connection, probe, isSame ? status : { ...status, revisionInForce });
+			this._renew(connection, probe, isSame ? status : { ...status, revisionInForce }, ageMs);
 		}
 	}
 
@@ -168,13 +170,14 @@
 		this._onDidChangeMembers.fire(undefined);
 	}
 
-	private _renew(connection: IConnection, probe: number, status: MemberStatus): void {
+	private _renew(connection: IConnection, probe: number, status: MemberStatus, ageMs?: number): void {
 		const record = this._recordOf(connection);
 		const feed = this._feeds.get(connection);
 		if (record === undefined || feed === undefined) {
 			return;
 		}
-		this._services.registry.put({ ...record, heardAtMs: this._services.clock.nowMs(), status });
+		const heardAtMs = this._services.clock.nowMs();
+		this._services.registry.put({ ...record, heardAtMs, ageMs: ageMs ?? record.ageMs, status });
 		feed.noteProbe(probe);
 		feed.sendChanges();
 		feed.sendFreshness();
--- a/src/keeper/common/systemStatus.ts
+++ b/src/keeper/common/systemStatus.ts
@@ -75,6 +75,7 @@
 		httpAddress: status.httpAddress,
 		keeperId,
 		revisionInForce: status.revisionInForce,
+		ageMs: process.ageMs,
 		heardAgoMs: Math.round(nowMs - process.heardAtMs),
 		isLive,
 	};
--- /dev/null
+++ b/src/keeper/common/test/keeperMetrics.test.ts
@@ -0,0 +1,68 @@
+import test from 'ava';
+import type { IMetricsService, MetricTags } from '../../../platform/metrics/common/metrics.js';
+import { KeeperMetrics, type KeeperLevels } from '../keeperMetrics.js';
+
+/** Keeps what is sent, as `kind name value tags`. */
+class RecordedMetrics implements IMetricsService {
+	readonly lines: string[] = [];
+
+	count(name: string, by: number, tags: MetricTags = {}): void {
+		this.lines.push(`count ${name} ${by} ${JSON.stringify(tags)}`);
+	}
+
+	gauge(name: string, value: number): void {
+		this.lines.push(`gauge ${name} ${value}`);
+	}
+
+	timing(name: string, valueMs: number): void {
+		this.lines.push(`timing ${name} ${valueMs}`);
+	}
+}
+
+const levels: KeeperLevels = {
+	replica: {
+		role: 'leader',
+		term: 4,
+		leaderId: 'keeper-1',
+		commitIndex: 90,
+		appliedIndex: 90,
+		members: [],
+	},
+	revision: 7,
+	epoch: 3,
+	ageMs: 1.2,
+	subscribers: 18,
+	claimsKept: 1000,
+	claimsWaiting: 2,
+};
+
+test('a keeper without a quorum says that its age has no bound, and sends no number for it', (t) => {
+	const metrics = new RecordedMetrics();
+	const keeper = new KeeperMetrics(metrics);
+	keeper.sendLevels(levels);
+	t.true(metrics.lines.includes('gauge keeper.ageMs 2'));
+	t.true(metrics.lines.includes('gauge keeper.isFresh 1'));
+	t.true(metrics.lines.includes('gauge keeper.isLeader 1'));
+	metrics.lines.length = 0;
+	keeper.sendLevels({ ...levels, ageMs: undefined });
+	t.true(metrics.lines.includes('gauge keeper.isFresh 0'));
+	t.false(metrics.lines.some((line) => line.includes('keeper.ageMs')));
+});
+
+test('a leader is counted when it changes, not with each status', (t) => {
+	const metrics = new RecordedMetrics();
+	const keeper = new KeeperMetrics(metrics);
+	for (const leaderId of ['keeper-1', 'keeper-1', undefined, 'keeper-2']) {
+		keeper.noteStatus({ leaderId });
+	}
+	t.is(metrics.lines.length, 3);
+});
+
+test('claims are counted by their outcome, one metric a batch and outcome', (t) => {
+	const metrics = new RecordedMetrics();
+	new KeeperMetrics(metrics).noteClaims(['granted', 'granted', 'unknown']);
+	t.deepEqual(metrics.lines, [
+		'count keeper.claims 2 {"outcome":"granted"}',
+		'count keeper.claims 1 {"outcome":"unknown"}',
+	]);
+});
--- a/src/keeper/node/claimBatcher.ts
+++ b/src/keeper/node/claimBatcher.ts
@@ -12,6 +12,7 @@
 	ReleaseAnswer,
 } from '../../protocol/common/keeperMessages.js';
 import type { IReplicatedLog } from '../../replication/common/replicatedLog.js';
+import type { KeeperMetrics } from '../common/keeperMetrics.js';
 import { decodeValue, encodeValue, type KeeperCommandResults } from '../common/keeperCommands.js';
 
 /** Claims and releases in one command; keeps a command under a few hundred kilobytes. */
@@ -40,16 +41,23 @@
 	constructor(
 		private readonly _log: IReplicatedLog,
 		private readonly _events: ILogService,
+		private readonly _metrics: KeeperMetrics,
 	) {
 		super();
 	}
 
+	/** Claims and releases that wait to be written. */
+	get waitingCount(): number {
+		return this._waiting.length;
+	}
+
 	/** Queues claims; each is answered on its connection. */
 	claim(connection: IConnection, claims: readonly ClaimRequest[]): void {
 		const room = Math.max(0, maxWaiting - this._waiting.length);
 		this._add(connection, claims.slice(0, room), false);
 		const refused = claims.slice(room).map((claim) => toAnswer(claim, 'unknown'));
 		if (refused.length > 0) {
+			this._metrics.noteClaims(refused.map(({ outcome }) => outcome));
 			send(connection, refused, []);
 		}
 	}
@@ -122,6 +130,7 @@
 			answers.set(connection, present);
 			return present;
 		};
+		this._metrics.noteClaims(outcomes ?? claims.map(() => 'unknown'));
 		claims.forEach(({ connection, request }, index) => {
 			answersOf(connection).answers.push(toAnswer(request, outcomes?.[index] ?? 'unknown'));
 		});
--- a/src/keeper/node/keeperDaemon.ts
+++ b/src/keeper/node/keeperDaemon.ts
@@ -8,6 +8,7 @@
 import { SubscriptionService, type KeeperOnlyMessage } from '../../control/node/subscriptionService.js';
 import type { IDaemon } from '../../platform/daemon/node/daemon.js';
 import type { ILogService } from '../../platform/log/common/log.js';
+import { nullMetricsService } from '../../platform/metrics/common/metrics.js';
 import {
 	defaultConnectionLimits,
 	type ConnectionLimits,
@@ -18,6 +19,7 @@
 import type { MemberStatus } from '../../protocol/common/keeperMessages.js';
 import type { SystemStatus } from '../../protocol/common/operatorApi.js';
 import type { IReplicatedLog } from '../../replication/common/replicatedLog.js';
+import { KeeperMetrics } from '../common/keeperMetrics.js';
 import type { KeeperSettings } from '../common/keeperSettings.js';
 import { KeeperStateMachine } from '../common/keeperStateMachine.js';
 import { describeSystem } from '../common/systemStatus.js';
@@ -42,6 +44,8 @@
 	readonly identity: PeerIdentity;
 	readonly events: ILogService;
 	readonly openLog: OpenKeeperLog;
+	/** Takes the keeper's metrics; none are sent without it. */
+	readonly metrics?: KeeperMetrics;
 	readonly limits?: ConnectionLimits;
 	readonly clock?: IClock;
 }
@@ -55,6 +59,9 @@
 /** Time between looks at whether the keeper's own revision in force has changed. */
 const ownStatusIntervalMs = 200;
 
+/** Time between two sendings of the levels in the metrics. */
+const levelsIntervalMs = 1000;
+
 /** A running keeper. */
 export class KeeperDaemon extends Disposable implements IDaemon {
 	private readonly _onDidStop = this._register(new Emitter<undefined>());
@@ -65,6 +72,7 @@
 	private readonly _startedAtMs: number;
 	private readonly _startedEmpty: boolean;
 	private readonly _clock: IClock;
+	private readonly _metrics: KeeperMetrics;
 	private readonly _claims: ClaimBatcher;
 	private readonly _subscriptions: SubscriptionService;
 	private readonly _relayReports: RelayReports;
@@ -82,13 +90,14 @@
 		super();
 		const { settings, identity, events } = _options;
 		const clock = _options.clock ?? monotonicClock;
+		this._metrics = _options.metrics ?? new KeeperMetrics(nullMetricsService);
 		this._clock = clock;
 		this._startedAtMs = clock.nowMs();
 		this._startedEmpty = _machine.historyId === '';
 		this._ownStatus = createOwnStatus(settings);
 		this._register(_listener);
 		this._register(_log);
-		this._claims = this._register(new ClaimBatcher(_log, events));
+		this._claims = this._register(new ClaimBatcher(_log, events, this._metrics));
 		this._relayReports = this._register(new RelayReports(settings.processId, this._registry, clock));
 		this._subscriptions = this._register(
 			new SubscriptionService({
@@ -238,6 +247,7 @@
 		);
 		this._register(
 			this._log.onDidChangeStatus(({ role, term, leaderId }) => {
+				this._metrics.noteStatus({ leaderId });
 				events.info('keeper.roleChanged', { replicaRole: role, term, leaderId });
 				if (role === 'stopped') {
 					this._onDidStop.fire(undefined);
@@ -247,9 +257,15 @@
 		const timer = setInterval(() => {
 			this._putOwnRecord();
 		}, ownStatusIntervalMs);
+		// The log may have found its leader while it was opened.
+		this._metrics.noteStatus(this._log.status);
+		const levelsTimer = setInterval(() => {
+			this._sendLevels();
+		}, levelsIntervalMs);
 		this._register({
 			dispose: () => {
 				clearInterval(timer);
+				clearInterval(levelsTimer);
 			},
 		});
 		this._putOwnRecord();
@@ -305,10 +321,23 @@
 			subscribedAtMs: this._startedAtMs,
 			heardAtMs: this._clock.nowMs(),
 			hasLeft: false,
+			ageMs: this._boundedAgeMs(),
 			status: this._ownStatus,
 		});
 	}
 
+	private _sendLevels(): void {
+		this._metrics.sendLevels({
+			replica: this._log.status,
+			revision: this._machine.tables.tables.revision,
+			epoch: this._machine.directory.epoch,
+			ageMs: this._boundedAgeMs(),
+			subscribers: this._subscriptions.size,
+			claimsKept: this._machine.claimCount,
+			claimsWaiting: this._claims.waitingCount,
+		});
+	}
+
 	private _hasOtherKeepers(): boolean {
 		return this._log.status.members.length > 1;
 	}
--- a/src/operator/common/statusText.ts
+++ b/src/operator/common/statusText.ts
@@ -42,6 +42,7 @@
 		process.rack,
 		process.pool ?? '-',
 		String(process.revisionInForce),
+		process.ageMs === undefined ? '-' : `${Math.ceil(process.ageMs)} ms`,
 		process.isLive ? (process.isDraining ? 'draining' : 'live') : 'lease ended',
 		`heard ${process.heardAgoMs} ms ago by ${process.keeperId}`,
 	]);
@@ -51,10 +52,31 @@
 		'',
 		layOut([['KEEPER', 'ADDRESS', 'VOTE', ''], ...members]),
 		'',
-		layOut([['PROCESS', 'ROLE', 'DATA CENTRE', 'RACK', 'POOL', 'REVISION', 'STATE', 'HEARD'], ...processes]),
+		layOut([
+			['PROCESS', 'ROLE', 'DATA CENTRE', 'RACK', 'POOL', 'REVISION', 'AGE', 'STATE', 'HEARD'],
+			...processes,
+		]),
 	].join('\n');
 }
 
+/**
+ * Fills in the ages of processes that are subscribed to other keepers: each keeper knows those of its own subscribers.
+ *
+ * @param others what the other keepers say
+ */
+export function withAges(status: SystemStatus, others: readonly SystemStatus[]): SystemStatus {
+	const told = others.flatMap(({ keeperId, processes }) =>
+		processes.filter((process) => process.keeperId === keeperId),
+	);
+	const processes = status.processes.map((process) => {
+		const own = told.find(
+			({ processId, incarnation }) => processId === process.processId && incarnation === process.incarnation,
+		);
+		return { ...process, ageMs: process.ageMs ?? own?.ageMs };
+	});
+	return { ...status, processes };
+}
+
 /** Describes accepted changes, the newest first. */
 export function describeHistory(changes: readonly AcceptedChange[]): string {
 	if (changes.length === 0) {
--- a/src/protocol/common/keeperMessageSchemas.ts
+++ b/src/protocol/common/keeperMessageSchemas.ts
@@ -101,7 +101,12 @@
 		probe: countSchema,
 	}),
 	z.object({ kind: z.literal('memberStatus'), status: statusSchema, probe: countSchema }),
-	z.object({ kind: z.literal('renewLease'), probe: countSchema, revisionInForce: countSchema }),
+	z.object({
+		kind: z.literal('renewLease'),
+		probe: countSchema,
+		revisionInForce: countSchema,
+		ageMs: ageSchema.optional(),
+	}),
 	z.object({ kind: z.literal('leave') }),
 	z.object({ kind: z.literal('claim'), claims: claimsSchema }),
 	z.object({ kind: z.literal('releaseClaims'), claims: claimsSchema }),
--- a/src/protocol/common/keeperMessages.ts
+++ b/src/protocol/common/keeperMessages.ts
@@ -62,6 +62,8 @@
 	readonly kind: 'renewLease';
 	readonly probe: number;
 	readonly revisionInForce: number;
+	/** Greatest possible age of the sender's tables; absent when it has none, and when it can't be bounded. */
+	readonly ageMs?: number | undefined;
 }
 
 /** Ends the subscriber's lease: the process stops and won't come back under this incarnation. */
--- a/src/protocol/common/operatorApi.ts
+++ b/src/protocol/common/operatorApi.ts
@@ -90,6 +90,8 @@
 	/** Keeper that the process is subscribed to. */
 	readonly keeperId: string;
 	readonly revisionInForce: number;
+	/** Greatest possible age of its tables when it was heard last; absent where its server does not tell. */
+	readonly ageMs?: number | undefined;
 	/** Time since the process was heard, as known to the answering keeper. */
 	readonly heardAgoMs: number;
 	/** Whether the process has renewed its lease in time. */
