--- a/src/agent/common/agentCore.ts
+++ b/src/agent/common/agentCore.ts
@@ -2,6 +2,7 @@
 
 import { match } from 'ts-pattern';
 import type { Tables } from '../../declarations/common/tables.js';
+import type { TableScope } from '../../protocol/common/keeperMessages.js';
 import type { AgentInput, AgentOutput } from './agentInputs.js';
 import { AgentTick, type AgentTables } from './agentTables.js';
 import { nextAdmissionDeadlineMs, runAdmission } from './systems/admissionSystem.js';
@@ -56,12 +57,13 @@
 	);
 }
 
-function takeTables(tables: AgentTables, declarations: Tables): void {
+function takeTables(tables: AgentTables, declarations: Tables, scope: TableScope | undefined): void {
 	if (declarations.revision < tables.declarations.revision) {
 		return;
 	}
 	const { processId } = tables.options;
 	tables.declarations = declarations;
+	tables.scope = scope;
 	tables.poolOfRoute = new Map(declarations.routes.map((route) => [route.name, route.pool]));
 	tables.poolNames = new Set(declarations.pools.map((pool) => pool.name));
 	tables.isDrainedByOperator = declarations.drains.some((drain) => drain.name === processId);
@@ -87,8 +89,8 @@
 		.with({ kind: 'withdrawn' }, () => {
 			takeWithdrawal(tick);
 		})
-		.with({ kind: 'tablesChanged' }, ({ tables: declarations }) => {
-			takeTables(tables, declarations);
+		.with({ kind: 'tablesChanged' }, ({ tables: declarations, scope }) => {
+			takeTables(tables, declarations, scope);
 		})
 		.with({ kind: 'directorySeen' }, ({ epoch }) => {
 			tables.firstEpoch = Math.max(tables.firstEpoch, epoch);
--- a/src/agent/common/agentInputs.ts
+++ b/src/agent/common/agentInputs.ts
@@ -1,6 +1,7 @@
 /** What goes into a tick of the agent's core, and what comes out of it. Both are plain data. */
 
 import type { Tables } from '../../declarations/common/tables.js';
+import type { TableScope } from '../../protocol/common/keeperMessages.js';
 import type { AgentToEntryMessage, EntryToAgentMessage } from '../../protocol/common/agentMessages.js';
 import type { TaskIdentity, TaskNeeds } from '../../protocol/common/jobs.js';
 import type { LogFields } from '../../platform/log/common/log.js';
@@ -49,7 +50,12 @@
 	  }
 	| { readonly kind: 'announced'; readonly announcement: Announcement }
 	| { readonly kind: 'withdrawn' }
-	| { readonly kind: 'tablesChanged'; readonly tables: Tables }
+	| {
+			readonly kind: 'tablesChanged';
+			readonly tables: Tables;
+			/** Rows that the tables hold; absent for all. */
+			readonly scope?: TableScope | undefined;
+	  }
 	/** The first directory of entries that this run of the agent has got. */
 	| { readonly kind: 'directorySeen'; readonly epoch: number }
 	| { readonly kind: 'drainAsked' }
--- a/src/agent/common/agentTables.ts
+++ b/src/agent/common/agentTables.ts
@@ -1,5 +1,6 @@
 /** Everything that an agent's core knows between ticks. */
 
+import type { TableScope } from '../../protocol/common/keeperMessages.js';
 import { emptyTables, type Tables } from '../../declarations/common/tables.js';
 import type { TaskOutcome, UpstreamOffer } from '../../protocol/common/agentMessages.js';
 import type { LogFields } from '../../platform/log/common/log.js';
@@ -60,6 +61,8 @@
 	 */
 	firstEpoch = 0;
 	declarations: Tables = emptyTables;
+	/** Rows that {@link declarations} hold; absent for all. */
+	scope: TableScope | undefined;
 	/** Indexes of {@link declarations}, made once a change. */
 	poolOfRoute: ReadonlyMap<string, string> = new Map();
 	poolNames: ReadonlySet<string> = new Set();
@@ -75,6 +78,11 @@
 	/** Time of the last action of the guards; samples that are older than it don't show its effect. */
 	guardActedAtMs = -Infinity;
 
+	/** Whether the tables tell about a pool: not before the first ones, and not while they hold another pool's rows. */
+	knowsPool(pool: string | undefined): boolean {
+		return this.declarations.revision > 0 && (this.scope === undefined || this.scope.pool === pool);
+	}
+
 	/** Least epoch under which starts for a pool are taken. */
 	epochOf(pool: string): number {
 		return Math.max(this.firstEpoch, this.epochs.get(pool) ?? 0);
--- a/src/agent/common/systems/membershipSystem.ts
+++ b/src/agent/common/systems/membershipSystem.ts
@@ -17,9 +17,10 @@
 	if (tables.isDraining || tables.isDrainedByOperator || upstream?.isWithdrawn === true) {
 		return true;
 	}
-	// Before the first tables nothing is known of pools.
 	return (
-		upstream !== undefined && tables.declarations.revision > 0 && !tables.poolNames.has(upstream.offer.pool)
+		upstream !== undefined &&
+		tables.knowsPool(upstream.offer.pool) &&
+		!tables.poolNames.has(upstream.offer.pool)
 	);
 }
 
--- a/src/agent/common/systems/startRules.ts
+++ b/src/agent/common/systems/startRules.ts
@@ -41,8 +41,9 @@
 ): NotStartedReason | undefined {
 	const { tables } = tick;
 	const pool = tables.upstream?.offer.pool;
-	// A sender whose tables are newer knows of routes that this agent has yet to hear of.
-	if (message.revision <= tables.declarations.revision && tables.poolOfRoute.get(batch.route) !== pool) {
+	// A sender whose tables are newer, or hold the pool, knows of routes that this agent has yet to hear of.
+	const knowsRoutes = message.revision <= tables.declarations.revision && tables.knowsPool(pool);
+	if (knowsRoutes && tables.poolOfRoute.get(batch.route) !== pool) {
 		return 'otherPool';
 	}
 	if (!canEverFit(tables, batch.route, batch.needs)) {
--- a/src/agent/node/agentDaemon.ts
+++ b/src/agent/node/agentDaemon.ts
@@ -130,9 +130,10 @@
 		const { controlPlane, platform } = this._services;
 		let hasSeenDirectory = false;
 		const takeState = (): void => {
-			const { tables, directory } = controlPlane.state;
-			if (tables.revision !== this._tables.declarations.revision) {
-				this._push({ kind: 'tablesChanged', tables });
+			const { tables, scope, directory } = controlPlane.state;
+			// Other rows can come at the same revision.
+			if (tables !== this._tables.declarations) {
+				this._push({ kind: 'tablesChanged', tables, scope });
 			}
 			if (directory.epoch > 0 && !hasSeenDirectory) {
 				hasSeenDirectory = true;
--- a/src/bench/node/keeperSlopes.ts
+++ b/src/bench/node/keeperSlopes.ts
@@ -60,8 +60,8 @@
 	};
 }
 
-/** Use of one change beyond what an idle keeper uses in the same time. */
-function perChange(
+/** Use of one change beyond what an idle process uses in the same time. */
+export function perChange(
 	idle: MeteredUsage,
 	changing: MeteredUsage,
 	valueOf: (usage: MeteredUsage) => number,
@@ -111,7 +111,11 @@
 	return client;
 }
 
-async function makeChanges(operator: OperatorClient, clients: readonly ControlPlaneClient[]): Promise<void> {
+/** Makes changes one after the other, and waits until every subscriber has the last one. */
+export async function makeChanges(
+	operator: OperatorClient,
+	clients: readonly ControlPlaneClient[],
+): Promise<void> {
 	for (let revision = 0; revision < changes; revision += 1) {
 		const answer = await operator.change({
 			requestId: randomUUID(),
--- a/src/code/node/commands/agentCommand.ts
+++ b/src/code/node/commands/agentCommand.ts
@@ -44,7 +44,8 @@
 		incarnation: randomUUID(),
 	};
 	const { keepers, controlPath: path, dataCentre, sharedSecret: secret, maxResultBytes } = settings;
-	const controlPlane = new ControlPlaneClient({ keepers, path, dataCentre, identity, secret, log });
+	const subscription = { keepers, path, dataCentre, isScoped: true };
+	const controlPlane = new ControlPlaneClient({ ...subscription, identity, secret, log });
 	const daemon = await AgentDaemon.start(settings, {
 		identity,
 		controlPlane,
--- a/src/code/node/commands/slopesCommand.ts
+++ b/src/code/node/commands/slopesCommand.ts
@@ -4,6 +4,7 @@
 import { measureAgentSlopes } from '../../../bench/node/agentSlopes.js';
 import { measureEntrySlopes } from '../../../bench/node/entrySlopes.js';
 import { measureKeeperSlopes } from '../../../bench/node/keeperSlopes.js';
+import { measureRelaySlopes } from '../../../bench/node/relaySlopes.js';
 
 /** The command's definition. */
 export const slopesCommand = defineCommand({
@@ -14,14 +15,15 @@
 	args: {
 		role: {
 			type: 'string',
-			default: 'keeper,entry,agent',
-			description: 'Roles to measure, separated by commas.',
+			default: 'keeper,relay,entry,agent',
+			description: 'Roles to measure, separated by commas; relay is a keeper with agents behind an entry.',
 		},
 	},
 	run: async ({ args }) => {
 		const roles = args.role.split(',');
 		const slopes = {
 			...(roles.includes('keeper') ? { keeper: await measureKeeperSlopes() } : {}),
+			...(roles.includes('relay') ? { relay: await measureRelaySlopes() } : {}),
 			...(roles.includes('entry') ? { entry: await measureEntrySlopes() } : {}),
 			...(roles.includes('agent') ? { agent: await measureAgentSlopes() } : {}),
 		};
--- a/src/control/common/controlPlane.ts
+++ b/src/control/common/controlPlane.ts
@@ -8,6 +8,7 @@
 	ClaimRequest,
 	EntryDirectory,
 	MemberStatus,
+	TableScope,
 } from '../../protocol/common/keeperMessages.js';
 import type { MemberRecord } from './memberRegistry.js';
 import type { IStateSource } from './stateSource.js';
@@ -15,6 +16,8 @@
 /** The state that the keepers publish. */
 export interface ControlState {
 	readonly tables: Tables;
+	/** Rows that the tables hold; absent for all. */
+	readonly scope?: TableScope | undefined;
 	readonly directory: EntryDirectory;
 }
 
--- a/src/control/common/controlStateStore.ts
+++ b/src/control/common/controlStateStore.ts
@@ -8,10 +8,12 @@
 	ControlFreshnessMessage,
 	ControlSnapshotMessage,
 	EntryDirectory,
+	TableScope,
 } from '../../protocol/common/keeperMessages.js';
 import type { ControlState } from './controlPlane.js';
 import { DeltaLog } from './deltaLog.js';
 import type { IStateSource } from './stateSource.js';
+import { isSameScope } from './tableScope.js';
 
 /** A message that carries state or its freshness. */
 export type StateMessage = ControlSnapshotMessage | ControlDeltaMessage | ControlFreshnessMessage;
@@ -25,7 +27,9 @@
 	/** Changes are missing before the ones in the message; the whole state must be asked for. */
 	| 'gap'
 	/** The keeper's history is another one, and nothing in it is known to be newer. */
-	| 'otherHistory';
+	| 'otherHistory'
+	/** The message is of other rows than are wanted by now, or of wanted rows that are older than the present ones. */
+	| 'otherScope';
 
 /** Holds the newest state, and serves others from it. Revision and epoch never go back. */
 export class ControlStateStore implements IStateSource {
@@ -33,11 +37,28 @@
 	private readonly _deltas = new DeltaLog();
 	private _historyId = '';
 	private _confirmedAtMs = -Infinity;
+	/** Rows that are wanted; absent for all. */
+	private _scope: TableScope | undefined;
 
 	get state(): ControlState {
 		return this._state;
 	}
 
+	/** Rows that are wanted; absent for all. */
+	get scope(): TableScope | undefined {
+		return this._scope;
+	}
+
+	/** Whether the state holds the rows that are wanted, so that changes can be added to it. */
+	get hasScope(): boolean {
+		return this._historyId !== '' && isSameScope(this._state.scope, this._scope);
+	}
+
+	/** Sets the rows that are wanted. Until a snapshot brings them, the state stays as it is and gets no fresher. */
+	want(scope: TableScope | undefined): void {
+		this._scope = scope;
+	}
+
 	get tables(): Tables {
 		return this._state.tables;
 	}
@@ -80,15 +101,24 @@
 		return result;
 	}
 
-	private _takeSnapshot({ historyId, tables, directory }: ControlSnapshotMessage): TakeResult {
+	private _takeSnapshot({ historyId, scope, tables, directory }: ControlSnapshotMessage): TakeResult {
 		const isSameHistory = this._historyId === '' || this._historyId === historyId;
 		if (!isSameHistory && !this._isNewer(tables, directory)) {
 			return 'otherHistory';
 		}
+		// All rows, as a server of an older version sends them, serve any wish.
+		const isWanted = scope === undefined || isSameScope(scope, this._scope);
+		const isOlder = tables.revision < this._state.tables.revision;
+		if (!isWanted || (isOlder && !this.hasScope && this._historyId !== '')) {
+			return 'otherScope';
+		}
 		if (this._historyId !== historyId || tables.revision > this._state.tables.revision) {
 			this._deltas.clear();
 		}
 		this._historyId = historyId;
+		if (!isOlder && !isSameScope(scope, this._state.scope)) {
+			return this._setScoped(scope, tables, directory);
+		}
 		return this._setNewer(tables, directory);
 	}
 
@@ -96,6 +126,9 @@
 		if (historyId !== this._historyId) {
 			return 'otherHistory';
 		}
+		if (!this._servesScope) {
+			return 'otherScope';
+		}
 		const tables = applyDeltas(this._state.tables, deltas);
 		if (tables === undefined) {
 			return 'gap';
@@ -108,16 +141,32 @@
 		if (historyId !== this._historyId) {
 			return 'otherHistory';
 		}
+		if (!this._servesScope) {
+			return 'otherScope';
+		}
 		const isBehind = this._state.tables.revision < revision || this._state.directory.epoch < epoch;
 		return isBehind ? 'gap' : 'current';
 	}
 
+	/** Whether the rows that are wanted are among those of the state. */
+	private get _servesScope(): boolean {
+		return this._state.scope === undefined || this.hasScope;
+	}
+
+	/** Takes other rows at a revision that is as new. */
+	private _setScoped(scope: TableScope | undefined, tables: Tables, directory: EntryDirectory): TakeResult {
+		const { directory: present } = this._state;
+		this._state = { tables, scope, directory: directory.epoch > present.epoch ? directory : present };
+		return 'changed';
+	}
+
 	private _isNewer(tables: Tables, directory: EntryDirectory): boolean {
 		return tables.revision > this._state.tables.revision && directory.epoch > this._state.directory.epoch;
 	}
 
 	private _setNewer(tables: Tables, directory: EntryDirectory): TakeResult {
 		const newer: ControlState = {
+			scope: this._state.scope,
 			tables: tables.revision > this._state.tables.revision ? tables : this._state.tables,
 			directory: directory.epoch > this._state.directory.epoch ? directory : this._state.directory,
 		};
--- a/src/control/common/stateFeed.ts
+++ b/src/control/common/stateFeed.ts
@@ -1,7 +1,13 @@
 /** One subscription, at a keeper or an entry: what the subscriber holds, and what to send it next. */
 
-import type { KeeperToMemberMessage, SubscribeMessage } from '../../protocol/common/keeperMessages.js';
+import type { Tables } from '../../declarations/common/tables.js';
+import type {
+	KeeperToMemberMessage,
+	SubscribeMessage,
+	TableScope,
+} from '../../protocol/common/keeperMessages.js';
 import type { IStateSource } from './stateSource.js';
+import { scopeDeltas, scopeTables } from './tableScope.js';
 
 /** Beyond so many missing changes a subscriber gets a snapshot. */
 const maxDeltas = 200;
@@ -14,6 +20,9 @@
  * feed.sendChanges();
  */
 export class StateFeed {
+	private readonly _scope: TableScope | undefined;
+	/** Tables that the subscriber surely has; unknown until something was sent. */
+	private _sent: Tables | undefined;
 	private _historyId: string | undefined;
 	private _revision: number;
 	private _epoch: number;
@@ -25,6 +34,7 @@
 		private readonly _send: (message: KeeperToMemberMessage) => void,
 		first: SubscribeMessage,
 	) {
+		this._scope = first.scope;
 		this._historyId = first.historyId;
 		this._revision = first.revision;
 		this._epoch = first.epoch;
@@ -47,6 +57,9 @@
 		}
 		const { tables, directory } = this._source;
 		const isBehind = tables.revision > this._revision;
+		if (tables.revision === this._revision) {
+			this._sent = tables;
+		}
 		const hasOlderDirectory = directory.epoch > this._epoch;
 		if (!isBehind && !hasOlderDirectory) {
 			return;
@@ -56,12 +69,16 @@
 			this._sendSnapshot();
 			return;
 		}
+		const scoped = scopeDeltas(deltas, this._scope, this._sent);
+		if (isBehind) {
+			this._sent = tables;
+		}
 		this._revision = Math.max(this._revision, tables.revision);
 		this._epoch = Math.max(this._epoch, directory.epoch);
 		this._send({
 			kind: 'controlDelta',
 			historyId: this._source.historyId,
-			deltas,
+			deltas: scoped,
 			directory: hasOlderDirectory ? directory : undefined,
 			...this._freshness(),
 		});
@@ -84,12 +101,14 @@
 	private _sendSnapshot(): void {
 		const { historyId, tables, directory } = this._source;
 		this._historyId = historyId;
+		this._sent = tables;
 		this._revision = tables.revision;
 		this._epoch = directory.epoch;
 		this._send({
 			kind: 'controlSnapshot',
 			historyId,
-			tables,
+			scope: this._scope,
+			tables: scopeTables(tables, this._scope),
 			directory,
 			...this._freshness(),
 		});
--- a/src/control/node/controlPlaneClient.ts
+++ b/src/control/node/controlPlaneClient.ts
@@ -26,6 +26,7 @@
 import { ServerChoice, type ControlPath, type ControlServer } from '../common/serverChoice.js';
 import { StalenessWatch } from '../common/stalenessWatch.js';
 import type { IStateSource } from '../common/stateSource.js';
+import { isSameScope } from '../common/tableScope.js';
 import { ClaimSender } from './claimSender.js';
 import { ControlLink } from './controlLink.js';
 import { ReportSender } from './reportSender.js';
@@ -51,6 +52,8 @@
 	readonly log: ILogService;
 	/** By what the process subscribes; `keepers` by default. */
 	readonly path?: ControlPath;
+	/** Whether it needs only the rows of the pool that its status offers, and its own drain. */
+	readonly isScoped?: boolean;
 	/** Data centre of the process, whose entries it prefers. */
 	readonly dataCentre?: string;
 	readonly limits?: ConnectionLimits;
@@ -136,10 +139,15 @@
 
 	setStatus(status: MemberStatus): void {
 		this._status = status;
+		const isOtherScope = this._wantScope(status);
 		if (this._link === undefined && this._moveTimer === undefined) {
 			this._connect(this._server);
 			return;
 		}
+		if (isOtherScope && this._link?.isOpen === true) {
+			this._subscribe();
+			return;
+		}
 		this._sendStatus();
 	}
 
@@ -166,6 +174,22 @@
 		await this._link?.end(leaveTimeoutMs);
 	}
 
+	/** Wants the rows of the pool that is offered. Returns whether they are others than before. */
+	private _wantScope({ offer }: MemberStatus): boolean {
+		if (this._options.isScoped !== true) {
+			return false;
+		}
+		const before = this._copy.scope;
+		// An upstream that is away for a while mostly comes back to its pool.
+		const pool = offer?.pool ?? before?.pool;
+		const scope = { pool, processId: this._options.identity.processId };
+		if (isSameScope(before, scope)) {
+			return false;
+		}
+		this._copy.want(scope);
+		return true;
+	}
+
 	private _createLink(server: ControlServer): ControlLink {
 		const { identity, secret, limits } = this._options;
 		return new ControlLink(server, { identity, secret, limits: limits ?? defaultConnectionLimits });
@@ -253,14 +277,16 @@
 		if (this._status === undefined) {
 			return;
 		}
-		const { tables, directory, historyId } = this._copy;
+		const { tables, directory, historyId, hasScope, scope } = this._copy;
 		this._sentStatus = this._status;
 		this._claims.reset();
 		this._send({
 			kind: 'subscribe',
 			revision: tables.revision,
 			epoch: directory.epoch,
-			historyId: historyId === '' ? undefined : historyId,
+			// Without a history the server sends everything anew.
+			historyId: hasScope ? historyId : undefined,
+			scope,
 			status: this._status,
 			probe: this._nextProbe(),
 		});
@@ -336,6 +362,9 @@
 			this._subscribe();
 			return;
 		}
+		if (result === 'otherScope') {
+			return;
+		}
 		if (result === 'otherHistory') {
 			this._refuseOtherHistory(message);
 			return;
--- a/src/protocol/common/keeperMessageSchemas.ts
+++ b/src/protocol/common/keeperMessageSchemas.ts
@@ -12,6 +12,7 @@
 	KeeperToMemberMessage,
 	MemberStatus,
 	MemberToKeeperMessage,
+	TableScope,
 } from './keeperMessages.js';
 
 /** Longest name, address or id that is taken. */
@@ -58,6 +59,8 @@
 	offer: offerSchema.optional(),
 });
 
+const scopeSchema: z.ZodType<TableScope> = z.object({ pool: textSchema.optional(), processId: textSchema });
+
 const roles: readonly ProcessRole[] = [
 	'entry',
 	'agent',
@@ -97,6 +100,7 @@
 		revision: countSchema,
 		epoch: countSchema,
 		historyId: textSchema.optional(),
+		scope: scopeSchema.optional(),
 		status: statusSchema,
 		probe: countSchema,
 	}),
@@ -137,6 +141,7 @@
 	z.object({
 		kind: z.literal('controlSnapshot'),
 		...freshnessShape,
+		scope: scopeSchema.optional(),
 		tables: tablesSchema,
 		directory: directorySchema,
 	}),
--- a/src/protocol/common/keeperMessages.ts
+++ b/src/protocol/common/keeperMessages.ts
@@ -38,6 +38,14 @@
 	readonly offer?: UpstreamOffer | undefined;
 }
 
+/** The rows that a subscriber gets. The revision counts all changes, also those that concern none of its rows. */
+export interface TableScope {
+	/** Pool whose row and routes matter; absent while the agent's upstream is not known. */
+	readonly pool?: string | undefined;
+	/** Process whose drain matters. */
+	readonly processId: string;
+}
+
 /** Opens a subscription. The keeper answers with a snapshot, or with deltas when `revision` is recent. */
 export interface SubscribeMessage {
 	readonly kind: 'subscribe';
@@ -45,6 +53,8 @@
 	readonly epoch: number;
 	/** History that the revision belongs to; absent before the first snapshot. */
 	readonly historyId?: string | undefined;
+	/** Rows that the subscriber wants; absent for all. */
+	readonly scope?: TableScope | undefined;
 	readonly status: MemberStatus;
 	/** Number that the keeper repeats in its messages; see {@link FreshnessProof}. */
 	readonly probe: number;
@@ -135,6 +145,8 @@
 export interface ControlSnapshotMessage extends FreshnessProof {
 	readonly kind: 'controlSnapshot';
 	readonly historyId: string;
+	/** Rows that the tables hold; absent for all. */
+	readonly scope?: TableScope | undefined;
 	readonly tables: Tables;
 	readonly directory: EntryDirectory;
 }
