From a stale entry an agent goes to a keeper at once

Cause: the test of a drain behind entries that are cut off passed with the drain's own check removed, since another home took over after the lease and refused the starts. With the home kept in place (memberLeaseMs of a minute) it failed before this commit: a start 2032 ms after the drain. The agent left its entry after 1400 ms for another entry behind the same cut, which cost it 700 ms more.

Ruled out: a shorter limit for entries, with which agents would leave an entry that itself only moves to another keeper.

Change: an entry that ended or has no room is followed by another entry, one that is silent or stale by a keeper.

--- a/src/control/common/serverChoice.ts
+++ b/src/control/common/serverChoice.ts
@@ -23,6 +23,14 @@
 	readonly path: ControlPath;
 }
 
+/** Why a process leaves its server. */
+export interface MoveCause {
+	/** The server is silent or old, and not known to have ended. */
+	readonly isStale: boolean;
+	/** Moves before this one since a server last proved to be fresh. */
+	readonly movesInVain: number;
+}
+
 /** Chooses a server after the other. Processes choose in different orders, which spreads their load. */
 export class ServerChoice {
 	private readonly _keepers: readonly ControlServer[];
@@ -38,15 +46,15 @@
 	}
 
 	/**
-	 * Server after one that was lost, silent or stale. An entry's subscribers go to other entries first, so that they
-	 * don't fall on the keepers together; when that one is no better, they go to the keepers, which need no directory.
-	 *
-	 * @param movesInVain moves before this one since a server last proved to be fresh
+	 * Server after one that was lost or is stale. Subscribers of an entry that ended go to other entries, so that they
+	 * don't fall on the keepers together. Where the state is old already there is no time to try an entry that may be
+	 * behind the same fault: they go to a keeper. When all keepers were tried in vain, an entry gets its turn.
 	 */
-	next(current: ControlServer, directory: EntryDirectory, movesInVain: number): ControlServer {
-		const rounds = movesInVain / (this._keepers.length + 1);
+	next(current: ControlServer, directory: EntryDirectory, cause: MoveCause): ControlServer {
+		const rounds = cause.movesInVain / (this._keepers.length + 1);
+		const isEntryDue = Number.isInteger(rounds) && !(cause.isStale && rounds === 0);
 		const entries = this._entries(directory).filter(({ processId }) => processId !== current.processId);
-		const entry = Number.isInteger(rounds) ? entries[rounds % entries.length] : undefined;
+		const entry = isEntryDue ? entries[rounds % entries.length] : undefined;
 		if (entry !== undefined) {
 			return entry;
 		}
--- a/src/control/node/controlPlaneClient.ts
+++ b/src/control/node/controlPlaneClient.ts
@@ -226,7 +226,7 @@
 	}
 
 	/** Leaves the present server and tries the next one after a short random wait. */
-	private _move(reason: string): void {
+	private _move(reason: string, isStale = false): void {
 		if (this._isDisposed || this._moveTimer !== undefined) {
 			return;
 		}
@@ -235,7 +235,7 @@
 		this._dropLink();
 		this._trial.stop(this._clock.nowMs());
 		this._claims.reset();
-		this._server = this._choice.next(left, this._copy.state.directory, movesInVain);
+		this._server = this._choice.next(left, this._copy.directory, { isStale, movesInVain });
 		if (movesInVain === 0) {
 			this._logMove(left, reason);
 		}
@@ -302,7 +302,7 @@
 			// A process that was itself stopped reads what has arrived before it judges its server.
 			setImmediate(() => {
 				if (this._link !== undefined && this._staleness.isStale(this._clock.nowMs())) {
-					this._move('It is silent or its state is stale.');
+					this._move('It is silent or its state is stale.', true);
 				}
 			});
 			return;
--- a/src/proof/test/relayedAgents.test.ts
+++ b/src/proof/test/relayedAgents.test.ts
@@ -167,6 +167,8 @@
 				proxies: ['keeperPeer'],
 				// The home goes on with its old tables, and its agents would as well.
 				entrySettings: { freshnessLimitMs: 60_000 },
+				// No other home takes over within the test and refuses the starts in the drain's place.
+				keeperSettings: { memberLeaseMs: 60_000 },
 				agentSettings: { controlPath: 'entries' },
 			},
 			{
