--- a/src/control/common/memberRegistry.ts
+++ b/src/control/common/memberRegistry.ts
@@ -106,11 +106,15 @@
 		}
 	}
 
-	/** Each known process once, sorted by name, with whether its lease holds. */
-	processes(nowMs: number, leaseMs: number): KnownProcess[] {
+	/**
+	 * Each known process once, sorted by name, with whether its lease holds.
+	 *
+	 * @param role only processes of this role; among many agents a few entries are found at little cost
+	 */
+	processes(nowMs: number, leaseMs: number, role?: ProcessRole): KnownProcess[] {
 		const chosen = new Map<string, MemberRecord>();
 		for (const records of this._records.values()) {
-			choose(chosen, records.values());
+			choose(chosen, records.values(), role);
 		}
 		return [...chosen.values()]
 			.map((record) => ({ ...record, isLive: !record.hasLeft && nowMs - record.heardAtMs <= leaseMs }))
@@ -151,8 +155,15 @@
 	return relayId === undefined ? keeperId : `${relayPrefix(keeperId)}${relayId}`;
 }
 
-function choose(chosen: Map<string, MemberRecord>, records: Iterable<MemberRecord>): void {
+function choose(
+	chosen: Map<string, MemberRecord>,
+	records: Iterable<MemberRecord>,
+	role?: ProcessRole,
+): void {
 	for (const record of records) {
+		if (role !== undefined && record.role !== role) {
+			continue;
+		}
 		const other = chosen.get(record.processId);
 		chosen.set(record.processId, other === undefined ? record : newer(other, record));
 	}
--- a/src/keeper/common/test/membership.test.ts
+++ b/src/keeper/common/test/membership.test.ts
@@ -95,6 +95,15 @@
 	t.is(known?.incarnation, '2');
 });
 
+test('processes of one role are found among all', (t) => {
+	const registry = new MemberRegistry();
+	registry.put(record());
+	registry.put(record({ processId: 'agent-1', role: 'agent' }));
+	const named = (processes: readonly KnownProcess[]) => processes.map((process) => process.processId);
+	t.deepEqual(named(registry.processes(0, leaseMs, 'entry')), ['entry-1']);
+	t.deepEqual(named(registry.processes(0, leaseMs)), ['agent-1', 'entry-1']);
+});
+
 test('a process that moved is as live as the keeper that heard it last says', (t) => {
 	const registry = new MemberRegistry();
 	registry.put(record({ keeperId: 'keeper-1', subscribedAtMs: 0, heardAtMs: 5000 }));
--- a/src/keeper/node/leaderDuties.ts
+++ b/src/keeper/node/leaderDuties.ts
@@ -115,7 +115,7 @@
 		const leadingForMs = nowMs - (this._leadingSinceMs ?? nowMs);
 		const entries = planDirectory({
 			directory: machine.directory,
-			processes: registry.processes(nowMs, memberLeaseMs),
+			processes: registry.processes(nowMs, memberLeaseMs, 'entry'),
 			drains: machine.tables.tables.drains,
 			mayRemove: leadingForMs > memberLeaseMs + reportGraceMs,
 		});
--- a/src/keeper/node/reportExchange.ts
+++ b/src/keeper/node/reportExchange.ts
@@ -40,7 +40,7 @@
 /** Sends reports to every other member of the group, and takes theirs. */
 export class ReportExchange extends Disposable {
 	private readonly _onDidReceive = this._register(new Emitter<undefined>());
-	/** Fires when another keeper has reported a change. */
+	/** Fires when another keeper has reported a change of an entry. Agents are too many to act on each. */
 	readonly onDidReceive = this._onDidReceive.event;
 
 	private readonly _peers = new Map<string, Peer>();
@@ -155,7 +155,7 @@
 		const nowMs = clock.nowMs();
 		this._lastReportMs.set(connection.peer.processId, nowMs);
 		registry.takeReport(source, report, nowMs);
-		if (report.members.length > 0) {
+		if (report.members.some(({ role }) => role === 'entry')) {
 			this._onDidReceive.fire(undefined);
 		}
 	}
