Don't say notRun of a relayed job that an earlier home may have started

Cause: a home that is cut off from the keepers refused every relayed job as notRun (staleTables), also one that came with mayHaveStarted. Its reader was told that nothing had run.

Change: the refusal goes through refusedVerdict, as that of a full queue does.

--- a/src/entry/common/systems/relaySystem.ts
+++ b/src/entry/common/systems/relaySystem.ts
@@ -9,7 +9,7 @@
 import type { JobAnswer, JobSubmission } from '../../../protocol/common/jobs.js';
 import { addJob, finishJob } from '../jobLife.js';
 import { JobRow } from '../jobRow.js';
-import { notRun } from '../verdict.js';
+import { refusedVerdict } from '../verdict.js';
 import { isOtherJob, keyReusedAnswer, recall, staleTables } from './admissionSystem.js';
 import { cancel, cancelByJobId } from './cancelSystem.js';
 import { goOnAfterHandOver, takeHandOver } from './handOverSystem.js';
@@ -93,10 +93,10 @@
 	if (row === undefined || tables.poolOf(row.pool).home.kind !== 'self') {
 		return homeMoved;
 	}
+	const job = new JobRow(submission, row.pool, tables.nowMs);
 	if (tables.isStale) {
-		return notRun(staleTables);
+		return refusedVerdict(job, staleTables);
 	}
-	const job = new JobRow(submission, row.pool, tables.nowMs);
 	job.relayers.add(relayer);
 	addJob(tables, job);
 	routeJob(context, job);
--- a/src/entry/test/decisions.test.ts
+++ b/src/entry/test/decisions.test.ts
@@ -185,3 +185,23 @@
 	const reasons = bench.answers.flatMap(({ answer }) => (answer.status === 'notRun' ? [answer.reason] : []));
 	t.deepEqual(reasons, ['staleTables', 'neverFits', 'deadlineTooShort']);
 });
+
+test('a cut-off home does not say that a job has not run which an earlier home may have started', (t) => {
+	const bench = new Bench(1, 1);
+	const jobs = [
+		submissionOf('fresh', 1, { isKeyed: true }),
+		submissionOf('begun', 1, { isKeyed: true, mayHaveStarted: true }),
+	];
+	const peer = { role: 'entry', processId: 'entry-2', incarnation: 'run-1' } as const;
+	const message = { kind: 'relayJobs', revision: 1, epoch: 1, jobs } as const;
+	const inputs: EntryInput[] = [
+		{ kind: 'peerOpened', sessionId: 99, peer },
+		{ kind: 'entryMessage', sessionId: 99, message },
+	];
+	const { frames } = bench.tick(inputs, 3001);
+	const answers = frames.flatMap((frame) =>
+		frame.message.kind === 'relayAnswers' ? frame.message.answers : [],
+	);
+	t.like(answers[0], { submissionId: 'fresh', answer: { status: 'notRun', reason: 'staleTables' } });
+	t.like(answers[1], { submissionId: 'begun', answer: { status: 'failed', outcome: 'mayHaveRun' } });
+});
