Index the workers of a pool by free slots, and keep the pool's sums in one place

Cause: a tick with tasks in line looked at every worker, and admission summed the slots up again for each job, so a start's processor time grew with the pool.

Change: rows report what changes about them to the worker table, the one owner of each pool's sums (slots, free slots, connected, ejected, probes due) and of a tournament tree by free slots and unused resources, one for the home's data centre and one for the others. Pauses, other entries' tasks and probe times, which end by time alone, wake their row. Choices are those of before for up to 16 open workers, but for the order of equal ones after one has filled up; beyond that the freest of all is taken in place of the freest of 16, equal ones from a random one on.

Ruled out: buckets by free slots (constant time, but a task with needs would look at every worker of a full bucket).

--- a/src/entry/common/entryCore.ts
+++ b/src/entry/common/entryCore.ts
@@ -168,7 +168,7 @@
 		}
 		for (const { pool, before } of updateHomes(tables, outputs, hasMissedDirectories)) {
 			if (pool.home.kind === 'self') {
-				for (const worker of tables.workersOf(pool.name)) {
+				for (const worker of tables.workersOf(pool.name).members()) {
 					assumeHome(tables, worker);
 				}
 				searchWaitingJobs(tables, pool.name);
--- a/src/entry/common/entryTables.ts
+++ b/src/entry/common/entryTables.ts
@@ -12,7 +12,8 @@
 import { Outbox } from './outbox.js';
 import { PoolState } from './poolState.js';
 import { RouteState } from './routeState.js';
-import type { WorkerRow } from './workerRow.js';
+import type { PoolWorkers } from './poolWorkers.js';
+import { WorkerTable } from './workerTable.js';
 
 /** How team quotas are divided among entries. */
 export interface QuotaParts {
@@ -55,7 +56,7 @@
 	/** Jobs of which something changed in this tick. */
 	readonly changedJobs = new Set<JobRow>();
 	/** Workers by process id. */
-	readonly workers = new Map<string, WorkerRow>();
+	readonly workers: WorkerTable;
 	readonly pools = new Map<string, PoolState>();
 	readonly routes = new Map<string, RouteState>();
 	/** Tasks at workers by team, as started by this entry. */
@@ -83,6 +84,7 @@
 		readonly options: EntryCoreOptions,
 		readonly random: SeededRandom,
 	) {
+		this.workers = new WorkerTable(options.dataCentre, random);
 		this.remembered = new KeyMemory(options.keyRetentionMs);
 	}
 
@@ -119,15 +121,9 @@
 		return this.isStopping || this.isDrainedByOperator;
 	}
 
-	/** Workers that serve a pool now, connected or not. */
-	workersOf(pool: string): WorkerRow[] {
-		const found: WorkerRow[] = [];
-		for (const worker of this.workers.values()) {
-			if (worker.pool === pool) {
-				found.push(worker);
-			}
-		}
-		return found;
+	/** Workers that serve a pool now, connected or not, and the sums over them. */
+	workersOf(pool: string): PoolWorkers {
+		return this.workers.inPool(pool, this.nowMs);
 	}
 
 	/** Adds to the tasks that a team has at workers. */
--- a/src/entry/common/policies/batchSamplingPolicy.ts
+++ b/src/entry/common/policies/batchSamplingPolicy.ts
@@ -6,6 +6,7 @@
 import type { EntryTables } from '../entryTables.js';
 import type { JobRow } from '../jobRow.js';
 import type { PoolState } from '../poolState.js';
+import type { PoolWorkers } from '../poolWorkers.js';
 import type { WorkerRow } from '../workerRow.js';
 import { PlacementPolicy, type IWorkerChooser } from './placementPolicy.js';
 import { cachedLoad } from './twoChoicesPolicy.js';
@@ -16,10 +17,11 @@
 export class BatchSamplingPolicy extends PlacementPolicy {
 	readonly usesHome = false;
 
-	chooserFor(tables: EntryTables, pool: PoolState, workers: readonly WorkerRow[]): IWorkerChooser {
+	chooserFor(tables: EntryTables, pool: PoolState, workers: PoolWorkers): IWorkerChooser {
+		const placeable = workers.placeable();
 		const sample = new Set<WorkerRow>();
-		for (let count = 0; count < pool.queuedTasks * sampledPerTask && workers.length > 0; count += 1) {
-			sample.add(tables.random.pick(workers));
+		for (let count = 0; count < pool.queuedTasks * sampledPerTask && placeable.length > 0; count += 1) {
+			sample.add(tables.random.pick(placeable));
 		}
 		return {
 			choose: (job: JobRow) => {
--- a/src/entry/common/policies/placementPolicy.ts
+++ b/src/entry/common/policies/placementPolicy.ts
@@ -3,6 +3,7 @@
 import type { EntryTables } from '../entryTables.js';
 import type { JobRow } from '../jobRow.js';
 import type { PoolState } from '../poolState.js';
+import type { PoolWorkers } from '../poolWorkers.js';
 import type { WorkerRow } from '../workerRow.js';
 
 /** Chooses workers for one pool's tasks in one tick. */
@@ -19,9 +20,9 @@
 	/**
 	 * Prepares the choices of one tick.
 	 *
-	 * @param workers workers of the pool that may get a start, ejected ones excluded
+	 * @param workers the pool's workers; ejected ones aren't among those that are placeable
 	 * @example
 	 * const worker = policy.chooserFor(tables, pool, workers).choose(job);
 	 */
-	abstract chooserFor(tables: EntryTables, pool: PoolState, workers: readonly WorkerRow[]): IWorkerChooser;
+	abstract chooserFor(tables: EntryTables, pool: PoolState, workers: PoolWorkers): IWorkerChooser;
 }
--- a/src/entry/common/policies/randomPolicy.ts
+++ b/src/entry/common/policies/randomPolicy.ts
@@ -3,17 +3,18 @@
 import type { EntryTables } from '../entryTables.js';
 import type { JobRow } from '../jobRow.js';
 import type { PoolState } from '../poolState.js';
-import type { WorkerRow } from '../workerRow.js';
+import type { PoolWorkers } from '../poolWorkers.js';
 import { PlacementPolicy, type IWorkerChooser } from './placementPolicy.js';
 
 /** Places each task at a random worker. */
 export class RandomPolicy extends PlacementPolicy {
 	readonly usesHome = false;
 
-	chooserFor(tables: EntryTables, _pool: PoolState, workers: readonly WorkerRow[]): IWorkerChooser {
+	chooserFor(tables: EntryTables, _pool: PoolState, workers: PoolWorkers): IWorkerChooser {
+		const placeable = workers.placeable();
 		return {
 			choose: (job: JobRow) => {
-				const fitting = workers.filter((worker) => worker.couldEverFit(job.submission.needs));
+				const fitting = placeable.filter((worker) => worker.couldEverFit(job.submission.needs));
 				return fitting.length === 0 ? undefined : tables.random.pick(fitting);
 			},
 		};
--- a/src/entry/common/policies/twoChoicesPolicy.ts
+++ b/src/entry/common/policies/twoChoicesPolicy.ts
@@ -3,6 +3,7 @@
 import type { EntryTables } from '../entryTables.js';
 import type { JobRow } from '../jobRow.js';
 import type { PoolState } from '../poolState.js';
+import type { PoolWorkers } from '../poolWorkers.js';
 import type { WorkerRow } from '../workerRow.js';
 import { PlacementPolicy, type IWorkerChooser } from './placementPolicy.js';
 
@@ -15,10 +16,11 @@
 export class TwoChoicesPolicy extends PlacementPolicy {
 	readonly usesHome = false;
 
-	chooserFor(tables: EntryTables, _pool: PoolState, workers: readonly WorkerRow[]): IWorkerChooser {
+	chooserFor(tables: EntryTables, _pool: PoolState, workers: PoolWorkers): IWorkerChooser {
+		const placeable = workers.placeable();
 		return {
 			choose: (job: JobRow) => {
-				const fitting = workers.filter((worker) => worker.couldEverFit(job.submission.needs));
+				const fitting = placeable.filter((worker) => worker.couldEverFit(job.submission.needs));
 				if (fitting.length === 0) {
 					return undefined;
 				}
--- a/src/entry/common/systems/admissionSystem.ts
+++ b/src/entry/common/systems/admissionSystem.ts
@@ -170,15 +170,7 @@
 /** Free slots of the job's pool, and the wait that the learned run times let its first task expect. */
 function expectedWait(tables: EntryTables, job: JobRow): { free: number; waitMs: number } {
 	const pool = tables.poolOf(job.pool);
-	let free = 0;
-	let slots = 0;
-	for (const worker of tables.workers.values()) {
-		if (worker.pool !== pool.name || !worker.canStart(tables.nowMs)) {
-			continue;
-		}
-		slots += worker.offer?.slots ?? 0;
-		free += Math.max(0, worker.freeSlots(tables.nowMs));
-	}
+	const { freeSlots: free, slots } = tables.workersOf(pool.name);
 	const isIdle = free > 0 || slots === 0;
 	return { free, waitMs: isIdle ? 0 : (pool.queuedTasks * pool.meanRunMs) / slots };
 }
--- a/src/entry/common/systems/controlSystem.ts
+++ b/src/entry/common/systems/controlSystem.ts
@@ -25,7 +25,7 @@
 	}
 	const drained = new Set(state.tables.drains.map((row) => row.name));
 	for (const worker of tables.workers.values()) {
-		worker.isDrained = drained.has(worker.processId);
+		worker.setDrained(drained.has(worker.processId));
 	}
 	tables.isDrainedByOperator = drained.has(tables.options.processId);
 	stopJobsOfLostPools(tables);
--- a/src/entry/common/systems/deadlineSystem.ts
+++ b/src/entry/common/systems/deadlineSystem.ts
@@ -57,8 +57,10 @@
 };
 
 function refuseHopelessJobsOf(tables: EntryTables, pool: PoolState): void {
-	const workers = tables.workersOf(pool.name);
-	const present = workers.filter((worker) => worker.sessionId !== undefined);
+	const present = tables
+		.workersOf(pool.name)
+		.members()
+		.filter((worker) => worker.sessionId !== undefined);
 	for (const job of tables.jobs.values()) {
 		const hasWaited = tables.nowMs - job.phaseSinceMs >= announceWaitMs || present.length > 0;
 		if (job.pool !== pool.name || job.phase !== 'placing' || job.queuedCount === 0 || !hasWaited) {
--- a/src/entry/common/systems/ejectionSystem.ts
+++ b/src/entry/common/systems/ejectionSystem.ts
@@ -42,9 +42,8 @@
 	if (worker.pool === undefined) {
 		return false;
 	}
-	const peers = tables.workersOf(worker.pool).filter((peer) => peer.sessionId !== undefined);
-	const ejected = peers.filter((peer) => peer.health.state !== 'healthy').length;
-	return ejected + 1 <= tables.poolOf(worker.pool).row.maxEjectedShare * peers.length + 1e-9;
+	const { connectedCount, unhealthyCount } = tables.workersOf(worker.pool);
+	return unhealthyCount + 1 <= tables.poolOf(worker.pool).row.maxEjectedShare * connectedCount + 1e-9;
 }
 
 function logHealth(worker: WorkerRow, outputs: EntryOutputs): void {
--- a/src/entry/common/systems/outcomeSystem.ts
+++ b/src/entry/common/systems/outcomeSystem.ts
@@ -195,17 +195,17 @@
 ): void {
 	match(reason)
 		.with('leaving', 'noUpstream', 'otherPool', () => {
-			worker.isLeaving = true;
+			worker.stopOffering();
 		})
 		.with('queueFull', 'doesNotFit', () => {
-			worker.pausedUntilMs = tables.nowMs + fullQueuePauseMs;
+			worker.pauseUntil(tables.nowMs + fullQueuePauseMs);
 		})
 		.with('olderEpoch', () => {
 			const pool = tables.poolOf(task.job.pool);
 			pool.refusedEpoch = Math.max(pool.refusedEpoch, task.epoch);
 		})
 		.with('upstreamRefused', 'staleTables', 'identitiesFull', () => {
-			worker.pausedUntilMs = tables.nowMs + refusedPauseMs;
+			worker.pauseUntil(tables.nowMs + refusedPauseMs);
 		})
 		.with('cancelled', 'startTimePassed', 'fenced', 'connectionLost', () => undefined)
 		.exhaustive();
--- a/src/entry/common/systems/placementSystem.ts
+++ b/src/entry/common/systems/placementSystem.ts
@@ -26,22 +26,13 @@
 }
 
 function placeInPool(tables: EntryTables, pool: PoolState, policy: PlacementPolicy): void {
-	const workers: WorkerRow[] = [];
-	for (const worker of tables.workers.values()) {
-		if (worker.pool === pool.name && worker.canStart(tables.nowMs)) {
-			workers.push(worker);
-		}
-	}
-	pool.slots = Math.max(
-		1,
-		workers.reduce((sum, worker) => sum + (worker.offer?.slots ?? 0), 0),
-	);
-	sendProbes(tables, pool, workers);
-	const healthy = workers.filter((worker) => worker.health.state === 'healthy');
-	if (healthy.length === 0) {
+	const workers = tables.workersOf(pool.name);
+	pool.slots = Math.max(1, workers.slots);
+	sendProbes(tables, pool, workers.dueProbes);
+	if (workers.placeableCount === 0) {
 		return;
 	}
-	const chooser = policy.chooserFor(tables, pool, healthy);
+	const chooser = policy.chooserFor(tables, pool, workers);
 	const order = new TeamOrder(pool, tables.nowMs);
 	for (let queue = order.next(); queue !== undefined; queue = order.next()) {
 		if (placeNext(tables, pool, queue, chooser)) {
@@ -70,9 +61,9 @@
 }
 
 /** Tries an ejected worker with one task of the team that is next. */
-function sendProbes(tables: EntryTables, pool: PoolState, workers: readonly WorkerRow[]): void {
+function sendProbes(tables: EntryTables, pool: PoolState, workers: ReadonlySet<WorkerRow>): void {
 	for (const worker of workers) {
-		if (!worker.health.isProbeDue(tables.nowMs) || worker.freeSlots(tables.nowMs) <= 0) {
+		if (worker.freeSlots(tables.nowMs) <= 0) {
 			continue;
 		}
 		const queue = new TeamOrder(pool, tables.nowMs).next();
@@ -80,7 +71,7 @@
 		if (queue === undefined || job === undefined) {
 			return;
 		}
-		worker.health.state = 'probing';
+		worker.health.beginProbe();
 		sendTask(tables, pool, queue, job, worker);
 	}
 }
--- a/src/entry/common/systems/searchSystem.ts
+++ b/src/entry/common/systems/searchSystem.ts
@@ -91,7 +91,10 @@
 
 function askWorkers(tables: EntryTables, job: JobRow): void {
 	const { tenure } = tables.poolOf(job.pool);
-	const workers = tables.workersOf(job.pool).filter((worker) => mayKnow(worker, job, tenure));
+	const workers = tables
+		.workersOf(job.pool)
+		.members()
+		.filter((worker) => mayKnow(worker, job, tenure));
 	job.hasBeenSearched = true;
 	job.searchedUnder = tenure;
 	if (workers.length === 0) {
--- a/src/entry/common/systems/sessionSystem.ts
+++ b/src/entry/common/systems/sessionSystem.ts
@@ -6,7 +6,7 @@
 import { endTask } from '../jobLife.js';
 import { assumeHome, repeatSearches } from './searchSystem.js';
 import type { EntryOutputs } from '../tickTypes.js';
-import { WorkerRow } from '../workerRow.js';
+import type { WorkerRow } from '../workerRow.js';
 
 /** Time for which a lost worker is remembered, so that a new home knows what it has not heard. */
 const lostWorkerMemoryMs = 60_000;
@@ -28,8 +28,7 @@
 	if (worker?.sessionId !== sessionId) {
 		return;
 	}
-	worker.sessionId = undefined;
-	worker.lostAtMs = tables.nowMs;
+	worker.lose(tables.nowMs);
 	markInDoubt(worker);
 	outputs.events.push({
 		level: 'info',
@@ -54,11 +53,8 @@
 	if (isFirst && worker.sessionId !== undefined && worker.sessionId > sessionId) {
 		return;
 	}
-	worker.offer = message.offer;
-	worker.dataCentre = message.dataCentre;
-	worker.rack = message.rack;
-	worker.isLeaving = message.isLeaving;
-	worker.isDrained = tables.control.tables.drains.some((row) => row.name === worker.processId);
+	worker.describe(message);
+	worker.setDrained(tables.control.tables.drains.some((row) => row.name === worker.processId));
 	noteForeignTasks(tables, worker, message);
 	if (isFirst) {
 		openWorkerSession(tables, worker, sessionId, outputs);
@@ -90,9 +86,7 @@
 	if (known !== undefined) {
 		loseRun(tables, known);
 	}
-	const worker = new WorkerRow(processId, incarnation);
-	tables.workers.set(processId, worker);
-	return worker;
+	return tables.workers.add(processId, incarnation);
 }
 
 /** Asks an agent about every task that was sent on an earlier connection. */
@@ -102,8 +96,7 @@
 	sessionId: number,
 	outputs: EntryOutputs,
 ): void {
-	worker.sessionId = sessionId;
-	worker.lostAtMs = undefined;
+	worker.open(sessionId);
 	markInDoubt(worker);
 	outputs.events.push({
 		level: 'info',
--- a/src/entry/common/workerHealth.ts
+++ b/src/entry/common/workerHealth.ts
@@ -19,7 +19,7 @@
 
 /** Record of one worker's failures. */
 export class WorkerHealth {
-	state: WorkerHealthState = 'healthy';
+	private _state: WorkerHealthState = 'healthy';
 	private _failureShare = 0;
 	private _expectedShare = 0;
 	private _outcomes = 0;
@@ -27,6 +27,18 @@
 	private _probeAtMs = 0;
 	private _probeWaitMs = firstProbeWaitMs;
 
+	/** @param _onDidChange told when the state has changed */
+	constructor(private readonly _onDidChange: () => void) {}
+
+	get state(): WorkerHealthState {
+		return this._state;
+	}
+
+	/** When an ejected worker may be tried with a task; infinite for any other. */
+	get probeAtMs(): number {
+		return this._state === 'ejected' ? this._probeAtMs : Infinity;
+	}
+
 	/** Failures beyond those of the peers, as a share from -1 to 1. */
 	get excess(): number {
 		return this._failureShare - this._expectedShare;
@@ -54,13 +66,18 @@
 
 	/** Takes the worker out until its next probe. */
 	eject(nowMs: number): void {
-		this.state = 'ejected';
 		this._probeAtMs = nowMs + this._probeWaitMs;
+		this._enter('ejected');
+	}
+
+	/** Takes account of a task that is sent to see whether the worker has recovered. */
+	beginProbe(): void {
+		this._enter('probing');
 	}
 
 	/** Whether a single task may be sent to see whether the worker has recovered. */
 	isProbeDue(nowMs: number): boolean {
-		return this.state === 'ejected' && nowMs >= this._probeAtMs;
+		return nowMs >= this.probeAtMs;
 	}
 
 	/** Takes account of a probe's end: a success takes the worker back, a failure doubles the wait. */
@@ -70,10 +87,15 @@
 			this.eject(nowMs);
 			return;
 		}
-		this.state = 'healthy';
+		this._enter('healthy');
 		this._probeWaitMs = firstProbeWaitMs;
 		this._failureShare = 0;
 		this._expectedShare = 0;
 		this._outcomes = 0;
 	}
+
+	private _enter(state: WorkerHealthState): void {
+		this._state = state;
+		this._onDidChange();
+	}
 }
--- /dev/null
+++ b/src/entry/test/placementBenchmark.ts
@@ -0,0 +1,150 @@
+/**
+ * Measures the core alone, without sockets: processor time of a task from its submission to its answer, by the size
+ * of the pool and its load.
+ *
+ * Each tick takes one job, and the answers that have come since the last one, as an entry does that isn't behind.
+ *
+ * Usage: `node out/entry/test/placementBenchmark.js [workers] [slots] [tasks] [load] [tasksPerJob]`
+ */
+
+import type { Tables } from '../../declarations/common/tables.js';
+import { EntryCore } from '../common/entryCore.js';
+import { createPolicy } from '../common/policies/createPolicy.js';
+import type { EntryInput, EntryOutputs } from '../common/tickTypes.js';
+import type { StartBatch } from '../../protocol/common/agentMessages.js';
+import { testTables } from './fakeControlPlane.js';
+import { submissionOf } from './simulatedSystem.js';
+
+interface Plan {
+	readonly workers: number;
+	readonly slots: number;
+	readonly tasks: number;
+	readonly load: number;
+	readonly tasksPerJob: number;
+}
+
+const meanRunMs = 50;
+
+/** Answers of agents, by the tick in which they are due. */
+class AnswerQueue {
+	private readonly _byTick = new Map<number, EntryInput[]>();
+
+	/** @param ticks number of ticks over which the answers of one tick's starts are spread */
+	constructor(private readonly _ticks: number) {}
+
+	add(outputs: EntryOutputs, tick: number): void {
+		for (const { sessionId, message } of outputs.frames) {
+			if (message.kind === 'startTasks') {
+				message.batches.forEach((batch) => {
+					this._addBatch(batch, sessionId, tick);
+				});
+			}
+		}
+	}
+
+	take(tick: number): EntryInput[] {
+		const due = this._byTick.get(tick) ?? [];
+		this._byTick.delete(tick);
+		return due;
+	}
+
+	private _addBatch({ submissionId, tasks }: StartBatch, sessionId: number, tick: number): void {
+		for (const { taskIndex } of tasks) {
+			const due = tick + 1 + ((taskIndex * 7 + sessionId) % this._ticks);
+			const end = { state: 'done', resultJson: '1', runMs: meanRunMs } as const;
+			const outcomes = [{ submissionId, taskIndex, end }];
+			const message = { kind: 'taskOutcomes', revision: 1, outcomes } as const;
+			const inputs = this._byTick.get(due) ?? [];
+			inputs.push({ kind: 'agentMessage', sessionId, message });
+			this._byTick.set(due, inputs);
+		}
+	}
+}
+
+function connectWorkers(core: EntryCore, workers: number, slots: number): void {
+	const inputs: EntryInput[] = [];
+	for (let sessionId = 1; sessionId <= workers; sessionId += 1) {
+		const peer = { role: 'agent', processId: `agent-${sessionId}`, incarnation: 'a' } as const;
+		const offer = {
+			pool: 'ledger',
+			slots,
+			connections: 64,
+			cores: 8,
+			memoryBytes: 2 ** 30,
+			accelerators: 0,
+		};
+		inputs.push(
+			{ kind: 'peerOpened', sessionId, peer },
+			{
+				kind: 'agentMessage',
+				sessionId,
+				message: {
+					kind: 'agentState',
+					revision: 1,
+					dataCentre: sessionId % 2 === 0 ? 'dc-1' : 'dc-2',
+					rack: 'rack-1',
+					offer,
+					isLeaving: false,
+					epoch: 0,
+					knownTasks: [],
+				},
+			},
+		);
+	}
+	core.tick(inputs, { nowMs: 0, tablesAgeMs: 0 });
+}
+
+function createCore(workers: number, slots: number): EntryCore {
+	const options = {
+		processId: 'entry-1',
+		incarnation: 'run-1',
+		dataCentre: 'dc-1',
+		freshnessLimitMs: 3000,
+		maxOpenJobs: 100_000,
+		keyRetentionMs: 600_000,
+	};
+	const core = new EntryCore(options, createPolicy('home'), 1);
+	const { processId, incarnation, dataCentre } = options;
+	const entries = [{ processId, incarnation, peerAddress: '127.0.0.1:1', dataCentre, isDraining: false }];
+	const tables: Tables = {
+		...testTables,
+		routes: testTables.routes.map((row) => ({ ...row, maxConcurrentTasks: 1e6 })),
+		teams: [],
+		pools: testTables.pools.map((row) => ({ ...row, maxQueuedTasks: 1e6, spareStartsPerWorker: 2 })),
+	};
+	const state = { tables, directory: { epoch: 1, entries } };
+	core.tick([{ kind: 'controlState', state }], { nowMs: 0, tablesAgeMs: 0 });
+	connectWorkers(core, workers, slots);
+	return core;
+}
+
+/** Runs tasks at a load and returns the processor time of a start, in microseconds. */
+function measure(plan: Plan): number {
+	const { workers, slots, tasks, load, tasksPerJob } = plan;
+	const core = createCore(workers, slots);
+	const { stats } = core.tables;
+	const tickMs = (tasksPerJob * meanRunMs) / (workers * slots * load);
+	const answers = new AnswerQueue(Math.max(1, Math.round((2 * meanRunMs) / tickMs)));
+	let cpuUs = 0;
+	for (let tick = 1; stats.startsSent < tasks; tick += 1) {
+		const submission = submissionOf(`s${tick}`, tasksPerJob, { remainingMs: 60_000 });
+		const inputs = answers.take(tick);
+		inputs.push({ kind: 'submit', readerId: tick, jobId: `job-${tick}`, submission });
+		const before = process.cpuUsage();
+		const outputs = core.tick(inputs, { nowMs: tick * tickMs, tablesAgeMs: 0 });
+		const { user, system } = process.cpuUsage(before);
+		cpuUs += user + system;
+		answers.add(outputs, tick);
+		if (stats.notRunAnswers > 0) {
+			throw new Error('A job was refused, so the run measures something else.');
+		}
+	}
+	return cpuUs / stats.startsSent;
+}
+
+const [workers = 500, slots = 8, tasks = 200_000, load = 0.8, tasksPerJob = 40] = process.argv
+	.slice(2)
+	.map(Number);
+const plan: Plan = { workers, slots, tasks, load, tasksPerJob };
+const usPerStart = Number(measure(plan).toFixed(2));
+process.stdout.write(`${JSON.stringify({ ...plan, usPerStart })}\n`);
