--- a/src/entry/common/entryCore.ts
+++ b/src/entry/common/entryCore.ts
@@ -13,11 +13,16 @@
 import { submitLocally } from './systems/admissionSystem.js';
 import { cancelByJobId, dropReader } from './systems/cancelSystem.js';
 import { applyControlState } from './systems/controlSystem.js';
-import { answerLateJobs, refuseHopelessJobs, refuseSupersededJobs } from './systems/deadlineSystem.js';
+import {
+	answerJobsOfEndedDrain,
+	answerLateJobs,
+	refuseHopelessJobs,
+	refuseSupersededJobs,
+} from './systems/deadlineSystem.js';
 import { mayGoOn, stopLateHandOvers, takeEarlyHandOver } from './systems/handOverSystem.js';
 import { acknowledgeOldOutcomes, applyOutcomes } from './systems/outcomeSystem.js';
 import { placeTasks } from './systems/placementSystem.js';
-import { divideQuotas } from './systems/quotaSystem.js';
+import { followGranter, leaseQuotas, noteBlindness } from './systems/quotaSystem.js';
 import { applyEntryMessage } from './systems/relaySystem.js';
 import {
 	applyClaim,
@@ -61,7 +66,10 @@
 	tick(inputs: readonly EntryInput[], clock: TickClock): EntryOutputs {
 		const { tables } = this;
 		const outputs = emptyOutputs();
+		const { nowMs: lastTickMs, tablesAgeMs: lastAgeMs } = tables;
 		tables.nowMs = clock.nowMs;
+		tables.tablesAgeMs = clock.tablesAgeMs;
+		noteBlindness(tables, lastTickMs, lastAgeMs);
 		tables.startedMs ??= clock.nowMs;
 		this._noteFreshness(clock, outputs);
 		const context: RoutingContext = { tables, outputs, usesHome: this._policy.usesHome };
@@ -69,6 +77,7 @@
 			this._apply(context, input);
 		}
 		answerLateJobs(tables, outputs);
+		answerJobsOfEndedDrain(tables, outputs);
 		if (tables.nowMs >= this._nextSlowMs) {
 			this._nextSlowMs = tables.nowMs + slowIntervalMs;
 			acknowledgeOldOutcomes(tables);
@@ -82,6 +91,9 @@
 			routeWaitingJobs(context);
 		}
 		placeTasks(tables, this._policy);
+		if (leaseQuotas(tables, this._policy.usesHome)) {
+			placeTasks(tables, this._policy);
+		}
 		this._answerJobs(outputs);
 		tables.outbox.flush(tables.revision, tables.epoch, outputs.frames);
 		outputs.nextTickMs = Math.min(tables.deadlines.nextMs, tables.nowMs + maxTickIntervalMs);
@@ -113,7 +125,7 @@
 			.with({ kind: 'controlState' }, ({ state }) => {
 				const hasMissed = applyControlState(tables, state);
 				tables.mayHomesHaveMoved = true;
-				divideQuotas(tables, this._policy.usesHome);
+				followGranter(tables);
 				this._followHomes(context, hasMissed);
 			})
 			.with({ kind: 'peerOpened' }, ({ sessionId, peer }) => {
@@ -135,8 +147,9 @@
 			.with({ kind: 'cancelJob' }, ({ jobId }) => {
 				cancelByJobId(tables, jobId, true);
 			})
-			.with({ kind: 'drain' }, () => {
+			.with({ kind: 'drain' }, ({ answerWithinMs }) => {
 				tables.isStopping = true;
+				tables.drainEndsAtMs = tables.nowMs + answerWithinMs;
 			})
 			.exhaustive();
 	}
--- a/src/entry/common/entrySettings.ts
+++ b/src/entry/common/entrySettings.ts
@@ -43,13 +43,19 @@
 	keyRetentionMs: durationMsSchema
 		.default(600_000)
 		.describe('Time for which a finished submission is remembered by its idempotency key.'),
+	maxRelayedAgents: z
+		.number()
+		.int()
+		.nonnegative()
+		.default(500)
+		.describe('Agents that may subscribe to the control state by this entry.'),
 	operatorToken: z
 		.string()
 		.min(16)
 		.optional()
 		.describe('Token for reading counters and the burn report; absent means that neither is served.'),
 	drainTimeoutMs: durationMsSchema
-		.default(30_000)
+		.default(70_000)
 		.describe('Time that a drain may take before the process gives up.'),
 	policy: z.enum(policyNames).default('home').describe('Placement policy.'),
 });
--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -1,5 +1,6 @@
 /** An entry as a process: sockets and timers around the core. */
 
+import { drainMarginMs } from '../../declarations/common/drainRule.js';
 import { randomUUID } from 'node:crypto';
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -9,6 +10,7 @@
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { describeError } from '../../base/common/errors.js';
 import type { ControlState, IControlPlane } from '../../control/common/controlPlane.js';
+import { ControlRelay } from '../../control/node/controlRelay.js';
 import type { IDaemon } from '../../platform/daemon/node/daemon.js';
 import type { ILogService } from '../../platform/log/common/log.js';
 import { nullMetricsService, type IMetricsService } from '../../platform/metrics/common/metrics.js';
@@ -56,7 +58,9 @@
 	private readonly _api: ReaderApi;
 	private readonly _loop: TickLoop;
 	private readonly _outcomes: OutcomeBook;
+	private readonly _relay: ControlRelay;
 	private _isDraining = false;
+	private _loggedRevision = 0;
 	/** Kept, because a server that is closing has no address any more. */
 	private readonly _httpAddress: string;
 
@@ -74,6 +78,18 @@
 		this._httpAddress = formatAddress(bound.address, bound.port);
 		this._register(_control);
 		this._register(_hub);
+		this._relay = this._register(
+			new ControlRelay({
+				control: _control,
+				ownId: settings.processId,
+				clock: monotonicClock,
+				log: _options.log,
+				maxSubscribers: settings.maxRelayedAgents,
+			}),
+		);
+		_hub.serveSubscribers((connection) => {
+			this._relay.accept(connection);
+		});
 		this._core = new EntryCore(
 			{ ...settings, incarnation: _identity.incarnation },
 			createPolicy(settings.policy),
@@ -107,7 +123,7 @@
 			settings.maxBodyBytes,
 		);
 		this._outcomes = this._register(
-			new OutcomeBook(_identity, () => _control.state.tables, _options.metrics ?? nullMetricsService),
+			new OutcomeBook(_identity, () => _control.state, _options.metrics ?? nullMetricsService),
 		);
 		this._serve();
 		this._followControl();
@@ -172,7 +188,11 @@
 	async drain(): Promise<void> {
 		this._isDraining = true;
 		this._publishStatus();
-		this._loop.push({ kind: 'drain' });
+		this._relay.leave();
+		this._loop.push({
+			kind: 'drain',
+			answerWithinMs: Math.max(0, this._options.settings.drainTimeoutMs - drainMarginMs),
+		});
 		const untilMs = performance.now() + drainNoticeMs;
 		const { jobs } = this._core.tables;
 		const handOverUntilMs = performance.now() + handOverTimeoutMs;
@@ -233,11 +253,13 @@
 			rack: settings.rack,
 			isDraining: this._isDraining || isDrained,
 			revisionInForce: tables.revision,
+			drainTimeoutMs: settings.drainTimeoutMs,
 		};
 		this._control.setStatus(status);
 	}
 
 	private _perform(outputs: EntryOutputs): void {
+		this._logRevision();
 		this._hub.send(outputs.frames);
 		this._api.answer(outputs.answers);
 		for (const claim of outputs.claims) {
@@ -251,6 +273,15 @@
 		}
 	}
 
+	/** One event for each revision that the core works with, so that a run's revisions can be followed in its log. */
+	private _logRevision(): void {
+		const { revision } = this._core.tables;
+		if (revision !== this._loggedRevision) {
+			this._options.log.info('tables.inForce', { revision, previousRevision: this._loggedRevision });
+			this._loggedRevision = revision;
+		}
+	}
+
 	private _claim(claim: ClaimRequest): void {
 		void this._control.claim(claim, claimTimeoutMs).then((outcome) => {
 			this._loop.push({ kind: 'claimAnswered', claim, outcome });
@@ -277,6 +308,7 @@
 			epoch,
 			openJobs: jobs.size,
 			workers: workers.size,
+			relayedAgents: this._relay.size,
 			pools: [...pools.values()].map((pool) => ({
 				name: pool.name,
 				home: pool.home.kind,
--- a/src/entry/test/simulatedSystem.ts
+++ b/src/entry/test/simulatedSystem.ts
@@ -27,7 +27,10 @@
 	/** Whether the process is stopped; input waits. */
 	isFrozen: boolean;
 	isDraining: boolean;
+	/** When the keepers last heard from the entry. */
 	heardAtMs: number;
+	/** Time at the keepers of the newest directory that the entry has got. */
+	freshAtMs: number;
 	inputs: EntryInput[];
 	nextTimerMs: number;
 }
@@ -54,6 +57,12 @@
 	readonly jitterMs: number;
 	readonly policy?: PolicyName;
 	readonly tables?: Tables;
+	/** Pools of the agents, by turns. */
+	readonly pools?: readonly string[];
+	/** Share of the messages about quotas that come once more, up to a second later. */
+	readonly doubledShare?: number;
+	/** Called with each message that an entry sends, and its session. */
+	readonly onSent?: (sessionId: number, message: EntryToAgentMessage | EntryToEntryMessage) => void;
 	/** Time that a task runs. */
 	readonly runMs: (random: SeededRandom) => number;
 	readonly failureShare?: number;
@@ -122,6 +131,17 @@
 		this.nowMs = atMs;
 	}
 
+	/** The entry that is the home of the pool by its own account. */
+	get home(): SimulatedEntry {
+		const home = this.entries.find(
+			(entry) => entry.isAlive && entry.core.tables.pools.get(pool)?.home.kind === 'self',
+		);
+		if (home === undefined) {
+			throw new Error('No entry is the home of the pool.');
+		}
+		return home;
+	}
+
 	/** Runs something later. */
 	after(waitMs: number, run: () => void): void {
 		this._events.push({ atMs: this.nowMs + waitMs, order: (this._lastId += 1), run });
@@ -160,13 +180,24 @@
 		}
 	}
 
-	restartAgent(): void {
-		const name = this.random.pick([...this._agents.keys()]);
+	/** Ends an agent for good. */
+	loseAgent(name: string): void {
+		this._endAgent(name);
+		this._agents.delete(name);
+	}
+
+	private _endAgent(name: string): void {
 		const known = this._agents.get(name);
 		if (known !== undefined) {
 			known.agent.isGone = true;
 		}
 		this._closeAll((session) => 'agent' in session.peer && session.peer.agent === name);
+	}
+
+	/** Ends an agent; a new run follows. */
+	restartAgent(): void {
+		const name = this.random.pick([...this._agents.keys()]);
+		this._endAgent(name);
 		this._startAgent(name);
 		this.after(this.random.integer(20, 400), () => {
 			for (const entry of this.entries) {
@@ -175,6 +206,7 @@
 		});
 	}
 
+	/** Kills an entry; a new run follows. */
 	killEntry(): void {
 		const entry = this.random.pick(this.entries);
 		if (!entry.isAlive || this.entries.filter((other) => other.isAlive).length < 2) {
@@ -183,9 +215,14 @@
 		this._replace(entry);
 	}
 
-	private _replace(entry: SimulatedEntry): void {
+	/** Kills an entry for good. */
+	loseEntry(entry: SimulatedEntry): void {
 		entry.isAlive = false;
 		this._closeAll((session) => session.entry === entry);
+	}
+
+	private _replace(entry: SimulatedEntry): void {
+		this.loseEntry(entry);
 		this.after(this.random.integer(200, 3000), () => {
 			this._startEntry(entry.processId);
 		});
@@ -202,7 +239,7 @@
 	}
 
 	/** Drains an entry and ends it once its jobs are answered; a new run follows. */
-	drainEntry(index = this.random.integer(0, this.entries.length - 1)): void {
+	drainEntry(index = this.random.integer(0, this.entries.length - 1), answerWithinMs = Infinity): void {
 		const entry = this.entries[index];
 		if (
 			entry?.isAlive !== true ||
@@ -212,7 +249,7 @@
 			return;
 		}
 		entry.isDraining = true;
-		this._push(entry, { kind: 'drain' });
+		this._push(entry, { kind: 'drain', answerWithinMs });
 		this._endOnceIdle(entry);
 	}
 
@@ -286,6 +323,7 @@
 			isFrozen: false,
 			isDraining: false,
 			heardAtMs: this.nowMs,
+			freshAtMs: this.nowMs,
 			inputs: [],
 			nextTimerMs: Infinity,
 		};
@@ -328,8 +366,13 @@
 		}
 		const directory = this._directory;
 		for (const entry of this.entries) {
+			if (!entry.isCutOff && !entry.isFrozen && entry.core.tables.epoch === directory.epoch) {
+				entry.freshAtMs = this.nowMs;
+			}
 			if (!entry.isCutOff && entry.core.tables.epoch !== directory.epoch) {
+				const sentMs = this.nowMs;
 				this.after(this.random.integer(0, 40), () => {
+					entry.freshAtMs = sentMs;
 					this._push(entry, { kind: 'controlState', state: { tables: this._tables, directory } });
 				});
 			}
@@ -354,7 +397,7 @@
 			dataCentre: 'dc-1',
 			rack: 'rack-1',
 			offer: {
-				pool,
+				pool: this._poolOf(name),
 				slots: this._options.slots,
 				connections: 64,
 				cores: 32,
@@ -367,6 +410,11 @@
 		});
 	}
 
+	private _poolOf(agent: string): string {
+		const { pools = [pool] } = this._options;
+		return pools[Number(agent.split('-')[1]) % pools.length] ?? pool;
+	}
+
 	private _connectEntries(one: SimulatedEntry, other: SimulatedEntry): void {
 		if (one === other || !one.isAlive || !other.isAlive) {
 			return;
@@ -468,14 +516,27 @@
 		if (session === undefined) {
 			return;
 		}
+		this._options.onSent?.(sessionId, message);
 		session.toPeerMs = Math.max(session.toPeerMs, this.nowMs + this._delayMs());
+		this._deliver(session, message, session.toPeerMs - this.nowMs);
+		const { doubledShare = 0 } = this._options;
+		if (message.kind.startsWith('quota') && doubledShare > 0 && this.random.next() < doubledShare) {
+			this._deliver(session, message, session.toPeerMs - this.nowMs + this.random.integer(0, 1000));
+		}
+	}
+
+	private _deliver(
+		session: Session,
+		message: EntryToAgentMessage | EntryToEntryMessage,
+		waitMs: number,
+	): void {
 		const { peer } = session;
-		this.after(session.toPeerMs - this.nowMs, () => {
+		this.after(waitMs, () => {
 			if (!session.isOpen) {
 				return;
 			}
 			if ('agent' in peer) {
-				this._agents.get(peer.agent)?.agent.receive(sessionId, message as EntryToAgentMessage);
+				this._agents.get(peer.agent)?.agent.receive(session.id, message as EntryToAgentMessage);
 			} else {
 				this._push(peer.session.entry, {
 					kind: 'entryMessage',
@@ -505,7 +566,7 @@
 		entry.inputs = [];
 		const outputs = entry.core.tick(inputs, {
 			nowMs: this.nowMs,
-			tablesAgeMs: this.nowMs - entry.heardAtMs,
+			tablesAgeMs: this.nowMs - entry.freshAtMs,
 		});
 		for (const { sessionId, message } of outputs.frames) {
 			this._send(sessionId, structuredClone(message));
--- a/src/proof/node/soak.ts
+++ b/src/proof/node/soak.ts
@@ -4,6 +4,8 @@
 import { SeededRandom } from '../../base/common/random.js';
 import type { AuditReport } from '../common/auditRecords.js';
 import { drawFault, type SoakFault } from '../common/soakPlan.js';
+import { traceBreaches, type BreachTrace, type InjectedFault } from './breachTrace.js';
+import { OperatorLoad } from './operatorLoad.js';
 import { ProofRun } from './proofRun.js';
 import { ReaderLoad } from './readerLoad.js';
 import { SoakFaults } from './soakFaults.js';
@@ -13,6 +15,8 @@
 	readonly seconds: number;
 	readonly seed: number;
 	readonly jobsPerSecond: number;
+	/** 1, 3 or 5. */
+	readonly keepers: number;
 }
 
 /** What a soak found. */
@@ -25,22 +29,29 @@
 	readonly audit: AuditReport;
 	/** Processes that did not drain, or entries that did not serve again, as sentences. */
 	readonly failures: readonly string[];
+	/** What was going on around the tasks of broken promises. */
+	readonly traces: readonly BreachTrace[];
 }
 
 /** Faults that are active at the same time. */
 const lanes = 2;
 
+/** Rounds of operators in one soak: fewer than the changes that a keeper's history keeps. */
+const operatorRounds = 500;
+
+const leastOperatorGapMs = 300;
+
 const recoveryTimeoutMs = 30_000;
 
 /**
  * Runs one soak.
  *
  * @example
- * const report = await runSoak({ seconds: 60, seed: 7, jobsPerSecond: 80 });
+ * const report = await runSoak({ seconds: 60, seed: 7, jobsPerSecond: 80, keepers: 5 });
  */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
 	const run = await ProofRun.start({
-		keepers: 3,
+		keepers: options.keepers,
 		entries: 3,
 		agents: ['ledger', 'ledger', 'ledger', 'response', 'response', 'response'].map((pool) => ({ pool })),
 		dataCentres: 3,
@@ -55,7 +66,9 @@
 
 async function soakSystem(run: ProofRun, options: SoakOptions): Promise<SoakReport> {
 	const { seed, seconds, jobsPerSecond } = options;
-	const faults = new SoakFaults(run);
+	const meanGapMs = Math.max(leastOperatorGapMs, (seconds * 1000) / operatorRounds);
+	const operators = new OperatorLoad(run, { seed, operators: 2, meanGapMs });
+	const faults = new SoakFaults(run, operators);
 	const load = new ReaderLoad(run.readers, {
 		seed,
 		jobsPerSecond,
@@ -73,33 +86,54 @@
 		targets: () => faults.servingEntries(),
 	});
 	const untilMs = performance.now() + seconds * 1000;
-	const counts: Record<string, number> = {};
+	const injected: InjectedFault[] = [];
 	await Promise.all(
 		Array.from({ length: lanes }, (_, lane) =>
-			runLane(faults, new SeededRandom(seed * lanes + lane), untilMs, counts),
+			runLane(faults, new SeededRandom(seed * lanes + lane), untilMs, injected),
 		),
 	);
 	const failures = await recover(run);
 	await load.stop();
+	await operators.stop();
+	await run.awaitInForce();
 	failures.push(...faults.failures, ...(await drain(run)));
-	return { seed, seconds, jobs: load.jobCount, faults: counts, audit: run.audit(), failures };
+	const audit = run.audit();
+	return {
+		seed,
+		seconds,
+		jobs: load.jobCount,
+		faults: countKinds(injected),
+		audit,
+		failures,
+		traces: traceBreaches(run, audit, injected),
+	};
 }
 
 async function runLane(
 	faults: SoakFaults,
 	random: SeededRandom,
 	untilMs: number,
-	counts: Record<string, number>,
+	injected: InjectedFault[],
 ): Promise<void> {
 	while (performance.now() < untilMs) {
 		const fault: SoakFault = drawFault(random);
+		const fromMs = Date.now();
 		if (await faults.inject(fault)) {
-			counts[fault.kind] = (counts[fault.kind] ?? 0) + 1;
+			const { kind, target } = fault;
+			injected.push({ kind, targets: faults.describeTargets(target), fromMs, untilMs: Date.now() });
 		}
 		await delay(fault.pauseMs);
 	}
 }
 
+function countKinds(injected: readonly InjectedFault[]): Record<string, number> {
+	const counts: Record<string, number> = {};
+	for (const { kind } of injected) {
+		counts[kind] = (counts[kind] ?? 0) + 1;
+	}
+	return counts;
+}
+
 /** Waits until every entry serves each pool again. */
 async function recover(run: ProofRun): Promise<string[]> {
 	const failures: string[] = [];
