--- a/src/entry/common/jobLife.ts
+++ b/src/entry/common/jobLife.ts
@@ -20,7 +20,7 @@
 ): JobSubmission {
 	const declared = submission.needs;
 	const needs = tables.routeOf(submission.route).measuredNeeds.expected(declared);
-	if (needs === declared || !tables.workersOf(pool).some((worker) => worker.couldEverFit(declared))) {
+	if (needs === declared || !tables.workersOf(pool).couldAnyHold(declared)) {
 		return submission;
 	}
 	return { ...submission, needs };
--- a/src/entry/common/poolWorkers.ts
+++ b/src/entry/common/poolWorkers.ts
@@ -77,6 +77,16 @@
 		return [...this._counted.keys()];
 	}
 
+	/** Whether some worker is large enough for a task; mostly the first one that is looked at. */
+	couldAnyHold(needs: TaskNeeds): boolean {
+		for (const row of this._counted.keys()) {
+			if (row.couldEverFit(needs)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	/** Every worker that may get any task. Policies without an index look at all of them. */
 	placeable(): WorkerRow[] {
 		const rows: WorkerRow[] = [];
