Send the age of the entry's tables with each start

Cause: agents refuse a start when both sides' tables are older than their limit, since neither would know of a drain; but no entry told its age, so the rule never acted. Change: each startTasks frame has the greatest possible age, rounded up and finite; agents check the field's shape. GET /v1/stats tells the age too. Green with it: refused while both are cut off, started again after, and 30 jobs of 12 tasks before the cut without one refusal.

--- a/src/agent/common/entryMessageCheck.ts
+++ b/src/agent/common/entryMessageCheck.ts
@@ -11,7 +11,7 @@
 	}
 	switch (message.kind) {
 		case 'startTasks':
-			return isNumber(fields.epoch) && Array.isArray(fields.batches) && fields.batches.every(isBatch);
+			return isStartMessage(fields);
 		case 'assumeHome':
 			return isNumber(fields.epoch) && typeof fields.pool === 'string';
 		case 'fenceTasks':
@@ -24,6 +24,11 @@
 	}
 }
 
+function isStartMessage({ epoch, ageMs, batches }: Record<string, unknown>): boolean {
+	const isAged = ageMs === undefined || isNumber(ageMs);
+	return isNumber(epoch) && isAged && Array.isArray(batches) && batches.every(isBatch);
+}
+
 function isBatch(value: unknown): boolean {
 	const batch = toFields(value);
 	const needs = toFields(batch.needs);
--- a/src/entry/common/entryCore.ts
+++ b/src/entry/common/entryCore.ts
@@ -9,6 +9,7 @@
 import { SeededRandom } from '../../base/common/random.js';
 import { EntryTables, type EntryCoreOptions } from './entryTables.js';
 import { countAnswer, dropQueued, finishJob, hasIdleQueue } from './jobLife.js';
+import type { TablesStamp } from './outbox.js';
 import type { PlacementPolicy } from './policies/placementPolicy.js';
 import { submitLocally } from './systems/admissionSystem.js';
 import { cancelByJobId, dropReader } from './systems/cancelSystem.js';
@@ -42,6 +43,13 @@
 /** Time between looks at what changes slowly. */
 const slowIntervalMs = 250;
 
+/** Age that stands for all greater ones: tables that were never confirmed are infinitely old, which no frame can say. */
+const maxStampedAgeMs = 86_400_000;
+
+function stampOf({ revision, epoch, tablesAgeMs }: EntryTables): TablesStamp {
+	return { revision, epoch, ageMs: Math.ceil(Math.min(tablesAgeMs, maxStampedAgeMs)) };
+}
+
 /** The core of one entry. */
 export class EntryCore {
 	readonly tables: EntryTables;
@@ -95,7 +103,7 @@
 			placeTasks(tables, this._policy);
 		}
 		this._answerJobs(outputs);
-		tables.outbox.flush(tables.revision, tables.epoch, outputs.frames);
+		tables.outbox.flush(stampOf(tables), outputs.frames);
 		outputs.nextTickMs = Math.min(tables.deadlines.nextMs, tables.nowMs + maxTickIntervalMs);
 		return outputs;
 	}
@@ -201,7 +209,7 @@
 			outputs.events.push({
 				level: isStale ? 'warn' : 'info',
 				event: isStale ? 'tables.stale' : 'tables.fresh',
-				fields: { ageMs: Math.round(Math.min(clock.tablesAgeMs, 86_400_000)) },
+				fields: { ageMs: Math.round(Math.min(clock.tablesAgeMs, maxStampedAgeMs)) },
 			});
 		}
 	}
--- a/src/entry/common/outbox.ts
+++ b/src/entry/common/outbox.ts
@@ -7,6 +7,14 @@
 import type { JobRow } from './jobRow.js';
 import type { OutgoingFrame } from './tickTypes.js';
 
+/** What the sender's tables were when a frame was made. */
+export interface TablesStamp {
+	readonly revision: number;
+	readonly epoch: number;
+	/** Greatest possible age; a whole, finite number. */
+	readonly ageMs: number;
+}
+
 /** Everything for one session in one tick. */
 class SessionOutbox {
 	readonly starts = new Map<JobRow, StartBatch & { readonly tasks: TaskStart[] }>();
@@ -70,9 +78,9 @@
 	}
 
 	/** Turns the collections into frames and empties them. */
-	flush(revision: number, epoch: number, frames: OutgoingFrame[]): void {
+	flush(stamp: TablesStamp, frames: OutgoingFrame[]): void {
 		for (const [sessionId, session] of this._sessions) {
-			for (const message of this._messagesOf(session, revision, epoch)) {
+			for (const message of this._messagesOf(session, stamp)) {
 				frames.push({ sessionId, message });
 			}
 		}
@@ -81,17 +89,16 @@
 
 	private _messagesOf(
 		session: SessionOutbox,
-		revision: number,
-		epoch: number,
+		stamp: TablesStamp,
 	): (EntryToAgentMessage | EntryToEntryMessage)[] {
-		return [
-			...this._agentMessagesOf(session, revision, epoch),
-			...this._entryMessagesOf(session, revision, epoch),
-		];
+		return [...this._agentMessagesOf(session, stamp), ...this._entryMessagesOf(session, stamp)];
 	}
 
 	/** Questions go before starts, so that an agent has fenced a task before another start can follow. */
-	private _agentMessagesOf(session: SessionOutbox, revision: number, epoch: number): EntryToAgentMessage[] {
+	private _agentMessagesOf(
+		session: SessionOutbox,
+		{ revision, epoch, ageMs }: TablesStamp,
+	): EntryToAgentMessage[] {
 		const stats = this._stats;
 		const messages: EntryToAgentMessage[] = [];
 		if (session.assumedPool !== undefined) {
@@ -112,12 +119,12 @@
 		}
 		if (session.starts.size > 0) {
 			stats.startFrames += 1;
-			messages.push({ kind: 'startTasks', revision, epoch, batches: [...session.starts.values()] });
+			messages.push({ kind: 'startTasks', revision, epoch, ageMs, batches: [...session.starts.values()] });
 		}
 		return messages;
 	}
 
-	private _entryMessagesOf(session: SessionOutbox, revision: number, epoch: number): EntryToEntryMessage[] {
+	private _entryMessagesOf(session: SessionOutbox, { revision, epoch }: TablesStamp): EntryToEntryMessage[] {
 		const messages: EntryToEntryMessage[] = [...session.others];
 		if (session.relayedJobs.length > 0) {
 			this._stats.relayedJobs += session.relayedJobs.length;
--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -306,6 +306,7 @@
 			policy: this._options.settings.policy,
 			revision,
 			epoch,
+			tablesAgeMs: Math.round(this._control.ageMs()),
 			openJobs: jobs.size,
 			workers: workers.size,
 			relayedAgents: this._relay.size,
--- a/src/entry/test/decisions.test.ts
+++ b/src/entry/test/decisions.test.ts
@@ -13,6 +13,7 @@
 class Bench {
 	nowMs = 10_000;
 	readonly started: { worker: number; submissionId: string; taskIndex: number; team: string }[] = [];
+	readonly startAgesMs: (number | undefined)[] = [];
 	readonly answers: EntryOutputs['answers'] = [];
 	private readonly _core = new EntryCore(
 		{
@@ -80,6 +81,7 @@
 			if (message.kind !== 'startTasks') {
 				continue;
 			}
+			this.startAgesMs.push(message.ageMs);
 			for (const { submissionId, team, tasks } of message.batches) {
 				for (const { taskIndex } of tasks) {
 					this.started.push({ worker: sessionId, submissionId, taskIndex, team });
@@ -98,12 +100,11 @@
 	}
 
 	/** Ends every task that was started, in order. */
-	endAll(endOf: (worker: number) => TaskEnd): void {
+	endAll(endOf: (worker: number) => TaskEnd, tablesAgeMs = 0): void {
 		for (const { worker, submissionId, taskIndex } of this.started.splice(0)) {
 			const outcomes = [{ submissionId, taskIndex, end: endOf(worker) }];
-			this.tick([
-				{ kind: 'agentMessage', sessionId: worker, message: { kind: 'taskOutcomes', revision: 1, outcomes } },
-			]);
+			const message = { kind: 'taskOutcomes', revision: 1, outcomes } as const;
+			this.tick([{ kind: 'agentMessage', sessionId: worker, message }], tablesAgeMs);
 		}
 	}
 }
@@ -186,6 +187,14 @@
 	t.deepEqual(reasons, ['staleTables', 'neverFits', 'deadlineTooShort']);
 });
 
+test('starts tell the age of the tables, a finite number also when they were never confirmed', (t) => {
+	const bench = new Bench(1, 1);
+	bench.submit(submissionOf('job', 3));
+	bench.endAll(() => done, 1234.2);
+	bench.endAll(() => done, Infinity);
+	t.deepEqual(bench.startAgesMs, [0, 1235, 86_400_000]);
+});
+
 test('a refused job leaves no gap in the count of the queue: what waits is placed', (t) => {
 	const bench = new Bench(1, 1);
 	bench.submit(submissionOf('first', 1));
--- a/src/proof/test/staleTables.test.ts
+++ b/src/proof/test/staleTables.test.ts
@@ -3,6 +3,7 @@
 import test from 'ava';
 import { waitFor } from '../../base/common/async.js';
 import type { LocalEntry } from '../node/localDaemon.js';
+import { localOperatorToken } from '../node/localSystem.js';
 import { ProofRun } from '../node/proofRun.js';
 import type { ReaderAnswer } from '../node/readerClient.js';
 import { at, progressTimeoutMs, usualSystem } from './proofScenario.js';
@@ -64,3 +65,54 @@
 		t.deepEqual((await run.finish()).breaches, []);
 	},
 );
+
+/** More tasks than a pool's budget of retries. */
+const manyTasks = 12;
+
+function askMuch(run: ProofRun, entry: LocalEntry): Promise<ReaderAnswer> {
+	lastToken += 1;
+	const tasks = Array.from({ length: manyTasks }, (_unused, index) => ({
+		token: `ask-${lastToken}-${index}`,
+		runMs: 5,
+	}));
+	return run.readers.submit(entry, { route: 'consignment-status', tasks });
+}
+
+/** Refusals by agents that an entry has counted. */
+async function refusalsAt(entry: LocalEntry): Promise<number> {
+	const headers = { authorization: `Bearer ${localOperatorToken}` };
+	const response = await fetch(`${entry.url}/v1/stats`, { headers });
+	const { counters } = (await response.json()) as {
+		counters: { wastedMessages: { refusals: { items: number } } };
+	};
+	return counters.wastedMessages.refusals.items;
+}
+
+test.serial('agents refuse starts while they and the entry are cut off, and never before', async (t) => {
+	const run = await ProofRun.start({
+		...usualSystem,
+		entries: 1,
+		proxies: ['keeperPeer'],
+		// The entry itself would go on: the agents' rule is what refuses.
+		entrySettings: { freshnessLimitMs: 60_000 },
+	});
+	t.teardown(() => run.close());
+	const entry = at(run.system.entries, 0);
+	const proxy = at(run.system.keepers, 0).peerProxy!;
+	for (let job = 0; job < 30; job += 1) {
+		t.is((await askMuch(run, entry)).outcome.kind, 'complete');
+	}
+	t.is(await refusalsAt(entry), 0);
+	const cuts = [entry, ...run.system.agents].map(({ name }) => proxy.cut('toServer', { client: name }));
+	await waitFor('the agents refuse', progressTimeoutMs, async () => {
+		const { outcome, message } = await askMuch(run, entry);
+		return outcome.kind === 'notRun' && message.includes('staleTables');
+	});
+	for (const cut of cuts) {
+		cut.dispose();
+	}
+	await waitFor('the agents start tasks again', progressTimeoutMs, async () => {
+		return (await askMuch(run, entry)).outcome.kind === 'complete';
+	});
+	t.deepEqual((await run.finish()).breaches, []);
+});
--- a/src/protocol/common/agentMessages.ts
+++ b/src/protocol/common/agentMessages.ts
@@ -75,7 +75,8 @@
 	readonly epoch: number;
 	/**
 	 * Greatest possible age of the sender's tables. When both it and the agent's own exceed the agent's limit, neither
-	 * would know of a drain, and the agent refuses. Absent: the sender vouches for its own freshness.
+	 * would know of a drain, and the agent refuses. Absent: the sender vouches for its own freshness, as tests do;
+	 * entries always send it.
 	 */
 	readonly ageMs?: number | undefined;
 	readonly batches: readonly StartBatch[];
