--- a/src/entry/common/systems/searchSystem.ts
+++ b/src/entry/common/systems/searchSystem.ts
@@ -91,7 +91,10 @@
 
 function askWorkers(tables: EntryTables, job: JobRow): void {
 	const pool = tables.poolOf(job.pool);
-	const workers = tables.workersOf(job.pool).filter((worker) => mayKnow(worker, job, pool));
+	const workers = tables
+		.workersOf(job.pool)
+		.members()
+		.filter((worker) => mayKnow(worker, job, pool));
 	job.hasBeenSearched = true;
 	job.searchedUnder = pool.tenure;
 	if (workers.length === 0) {
