End a soak's process: destroy, not reset, a proxied socket whose end is under way

The stack (gdb) was Node's Environment::CleanupHandles, which waits for a handle that was never closed: libuv refuses to reset a socket that is shutting down, and Node then neither resets nor closes it.

Ruled out: a timer or promise left behind (the JavaScript had ended), children (none were left).

Change: the proxy destroys a socket whose end is under way.

--- a/src/proof/node/proxiedConnection.ts
+++ b/src/proof/node/proxiedConnection.ts
@@ -64,8 +64,8 @@
 			return;
 		}
 		this._isClosed = true;
-		this._clientSocket.resetAndDestroy();
-		this._serverSocket.resetAndDestroy();
+		breakSocket(this._clientSocket);
+		breakSocket(this._serverSocket);
 		this._options.onDidClose();
 	}
 
@@ -179,6 +179,15 @@
 	}
 }
 
+/** A socket whose end is under way can't be reset: Node.js would keep its handle, and the process, for ever. */
+function breakSocket(socket: Socket): void {
+	if (socket.writableEnded) {
+		socket.destroy();
+		return;
+	}
+	socket.resetAndDestroy();
+}
+
 function createFlow(direction: LinkDirection, source: Socket, destination: Socket): Flow {
 	return { direction, source, destination, queue: [], queuedBytes: 0, lastDueMs: 0, hasHole: false };
 }
