--- a/src/entry/common/systems/admissionSystem.ts
+++ b/src/entry/common/systems/admissionSystem.ts
@@ -3,7 +3,7 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import type { JobAnswer, JobSubmission } from '../../../protocol/common/jobs.js';
 import type { EntryTables } from '../entryTables.js';
-import { addJob, addReader } from '../jobLife.js';
+import { addJob, addReader, withExpectedNeeds } from '../jobLife.js';
 import { JobRow, type PendingRefusal } from '../jobRow.js';
 import type { EntryInput } from '../tickTypes.js';
 import { alreadySubmitted, notRun } from '../verdict.js';
@@ -47,7 +47,7 @@
 		const message = `The route "${submission.route}" was removed from the tables.`;
 		return Err(notRun({ reason: 'noWorkers', message }));
 	}
-	const job = new JobRow(submission, row.pool, tables.nowMs);
+	const job = new JobRow(withExpectedNeeds(tables, submission), row.pool, tables.nowMs);
 	addJob(tables, job);
 	addReader(tables, job, readerId, jobId);
 	return Ok(job);
@@ -170,15 +170,7 @@
 /** Free slots of the job's pool, and the wait that the learned run times let its first task expect. */
 function expectedWait(tables: EntryTables, job: JobRow): { free: number; waitMs: number } {
 	const pool = tables.poolOf(job.pool);
-	let free = 0;
-	let slots = 0;
-	for (const worker of tables.workers.values()) {
-		if (worker.pool !== pool.name || !worker.canStart(tables.nowMs)) {
-			continue;
-		}
-		slots += worker.offer?.slots ?? 0;
-		free += Math.max(0, worker.freeSlots(tables.nowMs));
-	}
+	const { freeSlots: free, slots } = tables.workersOf(pool.name);
 	const isIdle = free > 0 || slots === 0;
 	return { free, waitMs: isIdle ? 0 : (pool.queuedTasks * pool.meanRunMs) / slots };
 }
