--- a/src/proof/node/test/proxiedConnection.test.ts
+++ b/src/proof/node/test/proxiedConnection.test.ts
@@ -2,7 +2,7 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import test, { type ExecutionContext } from 'ava';
 import { waitFor } from '../../../base/common/async.js';
-import { PreciseTimer } from '../preciseTimer.js';
+import { PreciseTimer } from '../../../base/node/preciseTimer.js';
 import { ProxiedConnection } from '../proxiedConnection.js';
 
 async function openSocket(t: ExecutionContext): Promise<Socket> {
