--- a/src/agent/common/entryMessageCheck.ts
+++ b/src/agent/common/entryMessageCheck.ts
@@ -11,7 +11,7 @@
 	}
 	switch (message.kind) {
 		case 'startTasks':
-			return isNumber(fields.epoch) && Array.isArray(fields.batches) && fields.batches.every(isBatch);
+			return isStartMessage(fields);
 		case 'assumeHome':
 			return isNumber(fields.epoch) && typeof fields.pool === 'string';
 		case 'fenceTasks':
@@ -24,6 +24,11 @@
 	}
 }
 
+function isStartMessage({ epoch, ageMs, batches }: Record<string, unknown>): boolean {
+	const isAged = ageMs === undefined || isNumber(ageMs);
+	return isNumber(epoch) && isAged && Array.isArray(batches) && batches.every(isBatch);
+}
+
 function isBatch(value: unknown): boolean {
 	const batch = toFields(value);
 	const needs = toFields(batch.needs);
@@ -36,11 +41,20 @@
 		isNumber(needs.accelerators) &&
 		isNumber(batch.startWithinMs) &&
 		isNumber(batch.leaseMs) &&
+		isOptionalEntryRun(batch.answerTo) &&
 		Array.isArray(batch.tasks) &&
 		batch.tasks.every(isStart)
 	);
 }
 
+function isOptionalEntryRun(value: unknown): boolean {
+	if (value === undefined) {
+		return true;
+	}
+	const { entryId, incarnation } = toFields(value);
+	return typeof entryId === 'string' && typeof incarnation === 'string';
+}
+
 function isStart(value: unknown): boolean {
 	const { taskIndex, payloadJson, attempt } = toFields(value);
 	return (
--- a/src/entry/common/jobLife.ts
+++ b/src/entry/common/jobLife.ts
@@ -6,12 +6,24 @@
 import type { EntryTables } from './entryTables.js';
 import type { JobRow, PendingRefusal } from './jobRow.js';
 import type { EntryOutputs } from './tickTypes.js';
+import { isAnswered } from './systems/directAnswerSystem.js';
 import { mustStop } from './verdict.js';
 
-/** A submission whose tasks need what the tasks of its route were measured to use, where that is known. */
-export function withExpectedNeeds(tables: EntryTables, submission: JobSubmission): JobSubmission {
-	const needs = tables.routeOf(submission.route).measuredNeeds.expected(submission.needs);
-	return needs === submission.needs ? submission : { ...submission, needs };
+/**
+ * A submission whose tasks need what the tasks of its route were measured to use, where that is known. One that
+ * declares more than any worker of its pool has keeps that, and is refused for it: it may be unlike what was measured.
+ */
+export function withExpectedNeeds(
+	tables: EntryTables,
+	submission: JobSubmission,
+	pool: string,
+): JobSubmission {
+	const declared = submission.needs;
+	const needs = tables.routeOf(submission.route).measuredNeeds.expected(declared);
+	if (needs === declared || !tables.workersOf(pool).couldAnyHold(declared)) {
+		return submission;
+	}
+	return { ...submission, needs };
 }
 
 /** Enters a job into the tables. */
@@ -141,7 +153,7 @@
 	removeReader(tables, job, () => true);
 	for (const relayer of job.relayers) {
 		const sessionId = tables.entrySessions.get(relayer);
-		if (sessionId !== undefined) {
+		if (sessionId !== undefined && !isAnswered(tables, job, relayer)) {
 			tables.outbox.to(sessionId).relayedAnswers.push({ submissionId: job.submissionId, answer });
 		}
 	}
