Say truly that a withdrawn upstream is leaving, and that a drained entry is not stopping

Found by running the commands of OPERATING.md by hand: the answer to DELETE /v1/upstream said isLeaving false, since it was written before the agent's tick, and /readyz of an entry that an operator drains said that it is stopping.

--- a/src/agent/node/announceServer.ts
+++ b/src/agent/node/announceServer.ts
@@ -105,8 +105,10 @@
 		return context.json({ agentId, agentIncarnation, ttlMs: parsed.data.ttlMs });
 	}
 
-	private _withdraw(context: Context): Response {
+	private async _withdraw(context: Context): Promise<Response> {
 		this._onDidWithdraw.fire(undefined);
+		// The agent's tick runs before: the answer tells the state after the withdrawal.
+		await new Promise((resolve) => setImmediate(resolve));
 		return context.json(this._source.status(), 202);
 	}
 }
--- a/src/entry/common/systems/admissionSystem.ts
+++ b/src/entry/common/systems/admissionSystem.ts
@@ -74,12 +74,17 @@
 /** Refusal of a resubmission with other tasks. */
 export const keyReusedAnswer: JobAnswer = notRun(keyReused);
 
+/** A sentence about why an entry drains. */
+export function describeDrain({ isStopping }: Pick<EntryTables, 'isStopping'>): string {
+	return isStopping ? 'This entry is stopping.' : 'This entry is drained by an operator.';
+}
+
 /** Why this entry takes nothing new at all, if so. */
 function refusalOfEntry(tables: EntryTables): PendingRefusal | undefined {
 	if (tables.isDraining) {
 		return {
 			reason: 'draining',
-			message: 'This entry is stopping. Submit the job again; the balancer will choose another entry.',
+			message: `${describeDrain(tables)} Submit the job again; the balancer will choose another entry.`,
 			retryAfterMs: retrySoonMs,
 		};
 	}
--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -27,6 +27,7 @@
 import type { EntryStats } from '../common/entryStats.js';
 import type { EntrySettings } from '../common/entrySettings.js';
 import { createPolicy } from '../common/policies/createPolicy.js';
+import { describeDrain } from '../common/systems/admissionSystem.js';
 import type { EntryInput, EntryOutputs } from '../common/tickTypes.js';
 import { createEntryOperatorApi } from './entryOperatorApi.js';
 import { OutcomeBook } from './outcomeBook.js';
@@ -290,7 +291,8 @@
 
 	private _notReadyReason(): string | undefined {
 		if (this._isDraining || this._core.tables.isDraining) {
-			return 'The entry is stopping.';
+			const isStopping = this._isDraining || this._core.tables.isStopping;
+			return describeDrain({ isStopping });
 		}
 		if (this._core.tables.isStale) {
 			return 'The entry has lost touch with the keepers.';
--- a/src/entry/test/decisions.test.ts
+++ b/src/entry/test/decisions.test.ts
@@ -165,6 +165,7 @@
 	bench.applyTables({ ...testTables, revision: 2, drains: [{ name: 'entry-1' }] });
 	bench.submit(submissionOf('drained', 1));
 	t.like(bench.answers.at(-1), { answer: { status: 'notRun', reason: 'draining' } });
+	t.regex(JSON.stringify(bench.answers.at(-1)), /drained by an operator/);
 	bench.applyTables({ ...testTables, revision: 3, drains: [] });
 	bench.submit(submissionOf('served', 1));
 	t.is(bench.started.length, 1);
