--- a/src/entry/common/entryTables.ts
+++ b/src/entry/common/entryTables.ts
@@ -11,14 +11,10 @@
 import { KeyMemory } from './keyMemory.js';
 import { Outbox } from './outbox.js';
 import { PoolState } from './poolState.js';
+import { QuotaState } from './quotaState.js';
 import { RouteState } from './routeState.js';
-import type { WorkerRow } from './workerRow.js';
-
-/** How team quotas are divided among entries. */
-export interface QuotaParts {
-	readonly count: number;
-	readonly index: number;
-}
+import type { PoolWorkers } from './poolWorkers.js';
+import { WorkerTable } from './workerTable.js';
 
 /** What the core takes from the process's settings. */
 export interface EntryCoreOptions {
@@ -47,6 +43,8 @@
 	/** Whether the control state is too old to take new work. */
 	isStale = true;
 	nowMs = 0;
+	/** Greatest possible age of the control state in this tick. */
+	tablesAgeMs = Infinity;
 	startedMs: number | undefined;
 
 	/** Open jobs by submission. */
@@ -57,7 +55,7 @@
 	/** Jobs of which something changed in this tick. */
 	readonly changedJobs = new Set<JobRow>();
 	/** Workers by process id. */
-	readonly workers = new Map<string, WorkerRow>();
+	readonly workers: WorkerTable;
 	readonly pools = new Map<string, PoolState>();
 	readonly routes = new Map<string, RouteState>();
 	/** Tasks at workers by team, as started by this entry. */
@@ -70,8 +68,8 @@
 	readonly deadlines = new DeadlineQueue();
 	/** Jobs that wait for a home or for a takeover. */
 	readonly waitingJobs = new Set<JobRow>();
-	/** Entries that share the team quotas, and this entry's place among them. */
-	quotaParts: QuotaParts = { count: 1, index: 0 };
+	/** Parts of the team quotas that this entry has leased or grants. */
+	readonly quotas = new QuotaState();
 	/** Jobs that wait until a new home has taken a hand-over. */
 	readonly handedOverJobs = new Set<JobRow>();
 	/** Whether a relayed job's home may have moved or come back since the last tick. */
@@ -85,6 +83,7 @@
 		readonly options: EntryCoreOptions,
 		readonly random: SeededRandom,
 	) {
+		this.workers = new WorkerTable(options.dataCentre, random);
 		this.remembered = new KeyMemory(options.keyRetentionMs);
 	}
 
@@ -121,15 +120,9 @@
 		return this.isStopping || this.isDrainedByOperator;
 	}
 
-	/** Workers that serve a pool now, connected or not. */
-	workersOf(pool: string): WorkerRow[] {
-		const found: WorkerRow[] = [];
-		for (const worker of this.workers.values()) {
-			if (worker.pool === pool) {
-				found.push(worker);
-			}
-		}
-		return found;
+	/** Workers that serve a pool now, connected or not, and the sums over them. */
+	workersOf(pool: string): PoolWorkers {
+		return this.workers.inPool(pool, this.nowMs);
 	}
 
 	/** Adds to the tasks that a team has at workers. */
--- a/src/entry/common/systems/relaySystem.ts
+++ b/src/entry/common/systems/relaySystem.ts
@@ -9,10 +9,11 @@
 import type { JobAnswer, JobSubmission } from '../../../protocol/common/jobs.js';
 import { addJob, finishJob, withExpectedNeeds } from '../jobLife.js';
 import { JobRow } from '../jobRow.js';
-import { notRun } from '../verdict.js';
+import { refusedVerdict } from '../verdict.js';
 import { isOtherJob, keyReusedAnswer, recall, staleTables } from './admissionSystem.js';
 import { cancel, cancelByJobId } from './cancelSystem.js';
 import { goOnAfterHandOver, takeHandOver } from './handOverSystem.js';
+import { takeQuotaDemand, takeQuotaGrant, takeQuotaHandOver } from './quotaSystem.js';
 import { homeMoved, routeJob, waitForHome, type RoutingContext } from './routingSystem.js';
 
 /** Pause after an entry said that it isn't the home: one of the two has an older directory. */
@@ -53,6 +54,15 @@
 		.with({ kind: 'handOverTaken' }, (taken) => {
 			goOnAfterHandOver(context.tables, taken);
 		})
+		.with({ kind: 'quotaDemand' }, (demand) => {
+			takeQuotaDemand(context.tables, sessionId, peer, demand);
+		})
+		.with({ kind: 'quotaGrant' }, (granted) => {
+			takeQuotaGrant(context.tables, granted);
+		})
+		.with({ kind: 'quotaHandOver' }, (handedOver) => {
+			takeQuotaHandOver(context.tables, handedOver);
+		})
 		.exhaustive();
 }
 
@@ -93,10 +103,10 @@
 	if (row === undefined || tables.poolOf(row.pool).home.kind !== 'self') {
 		return homeMoved;
 	}
+	const job = new JobRow(withExpectedNeeds(tables, submission), row.pool, tables.nowMs);
 	if (tables.isStale) {
-		return notRun(staleTables);
+		return refusedVerdict(job, staleTables);
 	}
-	const job = new JobRow(withExpectedNeeds(tables, submission), row.pool, tables.nowMs);
 	job.relayers.add(relayer);
 	addJob(tables, job);
 	routeJob(context, job);
