--- a/src/code/node/test/operatorOperations.test.ts
+++ b/src/code/node/test/operatorOperations.test.ts
@@ -138,6 +138,19 @@
 	});
 });
 
+test('beside keepers that are down, what the one that answers says is told', async (t) => {
+	await withKeepers(['keeper-1'], async (harness, keepers) => {
+		keepers[0]!.log.cutOff();
+		const closed = '127.0.0.1:9';
+		// A keeper that is down is asked last, whenever the time is over.
+		const client = createClient(harness, [operatorAddress(keepers[0]!), closed, closed, closed], 300);
+		const edit = { action: 'put', table: 'drains', row: { name: 'agent-1' } } as const;
+		const result = await changeTables(client, [edit], 0, options);
+		t.is(result.exitCode, 1);
+		t.regex(result.text, /cut off/);
+	});
+});
+
 test('apply --wait names the process that does not have the change in force', async (t) => {
 	await withKeepers(['keeper-1', 'keeper-2'], async (harness, keepers, client) => {
 		const agents = ['agent-1', 'agent-2'].map((name) => harness.startClient(name, 'agent', keepers));
--- a/src/operator/node/operatorClient.ts
+++ b/src/operator/node/operatorClient.ts
@@ -141,6 +141,7 @@
 	): Promise<Result<Answer, OperatorError>> {
 		const untilMs = performance.now() + this._options.timeoutMs;
 		let mayHaveArrived = false;
+		let lastFailure: Failure | undefined;
 		for (let attempt = 0; ; attempt += 1) {
 			const address = this._options.addresses[attempt % this._options.addresses.length] ?? '';
 			const answer = await this._askOne(address, method, path, body);
@@ -148,8 +149,12 @@
 				return answer;
 			}
 			mayHaveArrived ||= isUnknown(answer);
+			// What a keeper says is worth more than that another one can't be reached.
+			if (answer.isOk() || lastFailure?.answer.isOk() !== true) {
+				lastFailure = { address, answer };
+			}
 			if (performance.now() > untilMs) {
-				return Err(this._describeFailure(answer, address, mayHaveArrived));
+				return Err(this._describeFailure(lastFailure, mayHaveArrived));
 			}
 			await delay(backoffMs(retryBackoff, attempt, Math.random));
 		}
@@ -180,21 +185,23 @@
 		}
 	}
 
-	private _describeFailure(
-		answer: Result<Answer, OperatorError>,
-		address: string,
-		mayHaveArrived: boolean,
-	): OperatorError {
+	private _describeFailure({ address, answer }: Failure, mayHaveArrived: boolean): OperatorError {
 		const reason = answer.isErr() ? answer.error.message : describeBody(answer.value.body);
 		const keepers = this._options.addresses.join(', ');
+		const verb = answer.isErr() ? 'the last one asked was' : 'the last answer came from';
 		return new OperatorError(
 			mayHaveArrived ? 'unknown' : 'failed',
-			`No keeper of ${keepers} answered for good within ${this._options.timeoutMs} ms; the last one asked was ` +
-				`${address}: ${reason}`,
+			`No keeper of ${keepers} answered for good within ${this._options.timeoutMs} ms; ${verb} ${address}: ${reason}`,
 		);
 	}
 }
 
+/** The failure that is told when no keeper answered for good. */
+interface Failure {
+	readonly address: string;
+	readonly answer: Result<Answer, OperatorError>;
+}
+
 /** Whether another keeper, or the same one later, may answer better. */
 function isTemporary(status: number): boolean {
 	return status >= 500;
