Split the leases of quotas into the granter's and the holder's side

No behaviour changes but one line found on reading: an entry that ceases to place tasks while a question is under way could set its next question to never, and ask for nothing when it becomes a home again under the same granter. The interval that is kept is finite now. That was not seen to happen, and has no test of its own.

--- a/src/entry/common/entryCore.ts
+++ b/src/entry/common/entryCore.ts
@@ -23,7 +23,8 @@
 import { mayGoOn, stopLateHandOvers, takeEarlyHandOver } from './systems/handOverSystem.js';
 import { acknowledgeOldOutcomes, applyOutcomes } from './systems/outcomeSystem.js';
 import { placeTasks } from './systems/placementSystem.js';
-import { followGranter, leaseQuotas, noteBlindness } from './systems/quotaSystem.js';
+import { followGranter, noteBlindness } from './systems/quotaGranterSystem.js';
+import { leaseQuotas } from './systems/quotaSystem.js';
 import { applyEntryMessage } from './systems/relaySystem.js';
 import {
 	applyClaim,
--- a/src/entry/common/systems/quotaSystem.ts
+++ b/src/entry/common/systems/quotaSystem.ts
@@ -1,37 +1,23 @@
 /**
  * Leases of team quotas: how many tasks of a team this entry may have at workers.
  *
- * One entry, the home of the first pool, grants the quotas of all teams. The others lease parts of them by demand, in
- * one question for all teams; no message depends on the number of tasks. docs/PLACEMENT.md has the rules that keep the
- * parts from ever adding up to more than the quota.
+ * One entry grants the quotas of all teams (quotaGranterSystem.ts). The others lease parts of them by demand, in one
+ * question for all teams; no message depends on the number of tasks.
  */
 
-import { rendezvousOrder } from '../../../base/common/rendezvous.js';
-import type { PeerIdentity } from '../../../platform/transport/common/transport.js';
-import type {
-	QuotaDemandMessage,
-	QuotaGrantMessage,
-	QuotaHandOverMessage,
-} from '../../../protocol/common/entryMessages.js';
+import type { QuotaDemandMessage, QuotaGrantMessage } from '../../../protocol/common/entryMessages.js';
 import type { EntryTables } from '../entryTables.js';
+import { assuredLeaseMs, quotaLeaseMs } from '../quotaLedger.js';
 import {
-	assuredLeaseMs,
-	QuotaLedger,
-	quotaLeaseMs,
-	type QuotaDemand,
-	type QuotaPart,
-} from '../quotaLedger.js';
-import type { GranterTenure } from '../quotaState.js';
-import { homeOf } from './controlSystem.js';
+	answerDemands,
+	grant,
+	granterSession,
+	handOverQuotas,
+	holderKey,
+	isWhole,
+	mayGrant,
+} from './quotaGranterSystem.js';
 
-/** Age of the control state past which a granter grants nothing: another entry may be the granter. */
-const grantAgeLimitMs = 500;
-/** Time after which no lease of an earlier granter can be in force. */
-const takeoverMs = grantAgeLimitMs + quotaLeaseMs;
-/** Time after which no part that an earlier granter has assured can be in force. */
-const wholeMs = grantAgeLimitMs + assuredLeaseMs;
-/** An epoch that no directory has. */
-const noEpoch = -1;
 /** Time between questions for all teams. */
 const askIntervalMs = 300;
 /** The same at the next home of a pool, which may have to place its tasks at any time and lives on what is assured. */
@@ -52,53 +38,6 @@
 	return Math.max(tasks, assured);
 }
 
-/** Takes account of a newer control state: this entry may have become the granter, or ceased to be. */
-export function followGranter(tables: EntryTables): void {
-	const { quotas, nowMs } = tables;
-	const { processId, incarnation } = tables.options;
-	quotas.isNextHome = isNextHome(tables);
-	const before = quotas.granter;
-	const granter = granterOf(tables);
-	if (granter?.processId === before?.processId && granter?.incarnation === before?.incarnation) {
-		return;
-	}
-	quotas.granter = granter;
-	quotas.nextAskMs = nowMs;
-	if (granter?.processId === processId && granter.incarnation === incarnation) {
-		quotas.tenure = beginTenure(tables);
-		quotas.lastTenure = undefined;
-		takeEarlyHandOver(tables);
-		return;
-	}
-	quotas.lastTenure = quotas.tenure;
-	quotas.tenure = undefined;
-}
-
-/**
- * Begins the granter's tenure anew if another entry may have granted quotas while this one was frozen or cut off. One
- * that did was the granter for as long as a takeover takes.
- *
- * @param lastTickMs time of the last tick
- * @param lastAgeMs age of the control state then
- */
-export function noteBlindness(tables: EntryTables, lastTickMs: number, lastAgeMs: number): void {
-	if (tables.quotas.tenure !== undefined && lastAgeMs + tables.nowMs - lastTickMs >= takeoverMs) {
-		// No hand-over can end this wait: it would be from before the blindness.
-		tables.quotas.tenure = { ...closedTenure(tables), epoch: noEpoch };
-	}
-}
-
-function beginTenure(tables: EntryTables): GranterTenure {
-	const { epoch, revision, control, nowMs } = tables;
-	// Under the first directory and tables of all, or alone in the first directory, no other can have been the granter.
-	const isFirst = epoch <= 1 && (revision <= 1 || control.directory.entries.length === 1);
-	return isFirst ? { ...closedTenure(tables), openMs: nowMs, wholeMs: nowMs } : closedTenure(tables);
-}
-
-function closedTenure({ epoch, revision, nowMs }: EntryTables): GranterTenure {
-	return { epoch, revision, openMs: nowMs + takeoverMs, wholeMs: nowMs + wholeMs };
-}
-
 /**
  * Asks for parts of the quotas, when it is time or when a team needs more than it has.
  *
@@ -116,7 +55,8 @@
 		return false;
 	}
 	const teams = isRound ? [...tables.teamRows.keys()] : [...quotas.pressing];
-	quotas.roundIntervalMs = intervalMs;
+	// Never infinite: this entry may become a home before the answer to its last question comes.
+	quotas.roundIntervalMs = Math.min(intervalMs, standbyIntervalMs);
 	quotas.nextPromptMs = nowMs + promptIntervalMs;
 	if (quotas.tenure !== undefined) {
 		return grantToSelf(tables, teams, isRound);
@@ -125,16 +65,6 @@
 	return false;
 }
 
-/** Takes another entry's question. */
-export function takeQuotaDemand(
-	tables: EntryTables,
-	sessionId: number,
-	peer: PeerIdentity,
-	message: QuotaDemandMessage,
-): void {
-	tables.quotas.waitingDemands.push({ sessionId, holder: holderKey(peer), message });
-}
-
 /** Takes an answer to one of this entry's questions. Only the answer to a team's last question counts. */
 export function takeQuotaGrant(tables: EntryTables, { seq, tasks, assured }: QuotaGrantMessage): void {
 	const { quotas, nowMs } = tables;
@@ -160,73 +90,6 @@
 	}
 }
 
-/** Takes the accounts of the granter before this one, which grants no more. */
-export function takeQuotaHandOver(tables: EntryTables, message: QuotaHandOverMessage): void {
-	const { quotas, nowMs } = tables;
-	if (message.epoch > tables.epoch) {
-		quotas.earlyHandOver = message;
-		return;
-	}
-	const { tenure } = quotas;
-	if (tenure === undefined || nowMs >= tenure.openMs) {
-		return;
-	}
-	if (message.epoch !== tenure.epoch || message.revision < tenure.revision) {
-		// Another granter may have come between.
-		return;
-	}
-	for (const { team, parts } of message.teams) {
-		const ledger = ledgerOf(tables, team);
-		for (const part of parts) {
-			ledger.take(part, nowMs);
-		}
-	}
-	tenure.openMs = Math.min(tenure.openMs, nowMs + message.closedForMs);
-	tenure.wholeMs = Math.min(tenure.wholeMs, nowMs + message.unknownForMs);
-	quotas.nextAskMs = nowMs;
-}
-
-/** Takes a hand-over that came before the directory that makes this entry the granter. */
-function takeEarlyHandOver(tables: EntryTables): void {
-	const early = tables.quotas.earlyHandOver;
-	tables.quotas.earlyHandOver = undefined;
-	if (early?.epoch === tables.epoch) {
-		takeQuotaHandOver(tables, early);
-	}
-}
-
-/**
- * The entry that every entry with the same control state takes for the granter: the home of the first pool, so that
- * where there is one pool its home asks nobody.
- */
-function granterOf(
-	tables: EntryTables,
-): { readonly processId: string; readonly incarnation: string } | undefined {
-	const { control } = tables;
-	const [firstPool] = control.tables.pools.map((row) => row.name).sort();
-	if (firstPool === undefined) {
-		return undefined;
-	}
-	const home = homeOf(firstPool, control.directory.entries, tables.options.processId);
-	const name = home.kind === 'self' ? tables.options.processId : home.kind === 'other' && home.processId;
-	return control.directory.entries.find((entry) => entry.processId === name);
-}
-
-/** Whether this entry is the granter for sure, and knows every lease that is in force. */
-function mayGrant({ quotas, nowMs, tablesAgeMs }: EntryTables): boolean {
-	return nowMs >= (quotas.tenure?.openMs ?? Infinity) && tablesAgeMs <= grantAgeLimitMs;
-}
-
-/** Whether every assured part is on an account of this entry. */
-function isWhole({ quotas, nowMs }: EntryTables): boolean {
-	return nowMs >= (quotas.tenure?.wholeMs ?? Infinity);
-}
-
-function grant(tables: EntryTables, team: string, demand: QuotaDemand): QuotaPart | undefined {
-	const quota = tables.teamRows.get(team)?.maxRunningTasks ?? 0;
-	return ledgerOf(tables, team).grant(demand, quota, tables.nowMs, isWhole(tables));
-}
-
 /** Puts a granted part in force, from the time of the question on. */
 function takePart(
 	tables: EntryTables,
@@ -245,27 +108,6 @@
 	}
 }
 
-function answerDemands(tables: EntryTables): void {
-	const { quotas, revision, epoch } = tables;
-	for (const { sessionId, holder, message } of quotas.waitingDemands.splice(0)) {
-		if (!mayGrant(tables)) {
-			continue;
-		}
-		const { seq, teams } = message;
-		const parts = teams.map((team, index) => {
-			const leased = message.leased[index] ?? 0;
-			const assured = message.assured[index] ?? 0;
-			const running = message.running[index] ?? 0;
-			const queued = message.queued[index] ?? 0;
-			return grant(tables, team, { holder, seq, leased, assured, running, queued });
-		});
-		const tasks = parts.map((part) => part?.tasks ?? null);
-		const assured = parts.map((part) => (isWhole(tables) ? (part?.assured ?? null) : null));
-		tables.stats.countWasted('grants', teams.length);
-		tables.outbox.to(sessionId).others.push({ kind: 'quotaGrant', revision, epoch, seq, tasks, assured });
-	}
-}
-
 function grantToSelf(tables: EntryTables, teams: readonly string[], isRound: boolean): boolean {
 	const { quotas, nowMs } = tables;
 	if (!mayGrant(tables)) {
@@ -327,31 +169,6 @@
 	tables.outbox.to(sessionId).others.push(message);
 }
 
-function granterSession({ quotas, entrySessions, sessions }: EntryTables): number | undefined {
-	const { granter } = quotas;
-	const sessionId = granter === undefined ? undefined : entrySessions.get(granter.processId);
-	if (sessionId === undefined || sessions.get(sessionId)?.incarnation !== granter?.incarnation) {
-		return undefined;
-	}
-	return sessionId;
-}
-
-function handOverQuotas(tables: EntryTables): void {
-	const { quotas, nowMs, revision, epoch } = tables;
-	const sessionId = granterSession(tables);
-	if (quotas.lastTenure === undefined || sessionId === undefined) {
-		return;
-	}
-	const teams = [...quotas.ledgers].map(([team, ledger]) => ({ team, parts: ledger.partsAt(nowMs) }));
-	tables.stats.countWasted('handOvers', teams.length);
-	const closedForMs = Math.max(0, quotas.lastTenure.openMs - nowMs);
-	const unknownForMs = Math.max(0, quotas.lastTenure.wholeMs - nowMs);
-	quotas.ledgers.clear();
-	quotas.lastTenure = undefined;
-	const message = { kind: 'quotaHandOver', revision, epoch, closedForMs, unknownForMs, teams } as const;
-	tables.outbox.to(sessionId).others.push(message);
-}
-
 /** Time between questions; infinite at an entry that neither places tasks nor would if one other entry were lost. */
 function roundIntervalOf(tables: EntryTables, usesHome: boolean): number {
 	if (isPlacing(tables, usesHome)) {
@@ -360,14 +177,6 @@
 	return tables.quotas.isNextHome ? standbyIntervalMs : Infinity;
 }
 
-/** Whether this entry would be the home of a pool if its home were lost. */
-function isNextHome({ control, options }: EntryTables): boolean {
-	const names = control.directory.entries
-		.filter((entry) => !entry.isDraining)
-		.map((entry) => entry.processId);
-	return control.tables.pools.some(({ name }) => rendezvousOrder(name, names)[1] === options.processId);
-}
-
 /** Whether tasks are placed here: this entry is a home, or has tasks left from a time when it was. */
 function isPlacing(tables: EntryTables, usesHome: boolean): boolean {
 	const isHome = [...tables.pools.values()].some((pool) => pool.home.kind === 'self' || pool.queuedTasks > 0);
@@ -403,16 +212,3 @@
 	}
 	return { running, queued, wanted: running + queued };
 }
-
-function ledgerOf({ quotas }: EntryTables, team: string): QuotaLedger {
-	let ledger = quotas.ledgers.get(team);
-	if (ledger === undefined) {
-		ledger = new QuotaLedger();
-		quotas.ledgers.set(team, ledger);
-	}
-	return ledger;
-}
-
-function holderKey({ processId, incarnation }: { processId: string; incarnation: string }): string {
-	return `${processId}/${incarnation}`;
-}
--- a/src/entry/common/systems/relaySystem.ts
+++ b/src/entry/common/systems/relaySystem.ts
@@ -13,7 +13,8 @@
 import { isOtherJob, keyReusedAnswer, recall, staleTables } from './admissionSystem.js';
 import { cancel, cancelByJobId } from './cancelSystem.js';
 import { goOnAfterHandOver, takeHandOver } from './handOverSystem.js';
-import { takeQuotaDemand, takeQuotaGrant, takeQuotaHandOver } from './quotaSystem.js';
+import { takeQuotaDemand, takeQuotaHandOver } from './quotaGranterSystem.js';
+import { takeQuotaGrant } from './quotaSystem.js';
 import { homeMoved, routeJob, waitForHome, type RoutingContext } from './routingSystem.js';
 
 /** Pause after an entry said that it isn't the home: one of the two has an older directory. */
