Bind, own and drain servers by one piece of code each

Read of the whole change: binding an address with its error stood in five servers, closing one with its connections in four, and draining one in two.

Change: listenOn in the transport, ownServer and drainServer beside the token check. The sentences of the errors stay as they were; those of the agent and of the stand-in are of the class TransportError now, which their callers print the same.

--- a/src/agent/node/agentDaemon.ts
+++ b/src/agent/node/agentDaemon.ts
@@ -77,7 +77,7 @@
 	/**
 	 * Starts an agent; it is ready when the promise resolves.
 	 *
-	 * @throws Error when the announce address can't be bound
+	 * @throws TransportError when the announce address can't be bound
 	 * @example
 	 * const daemon = await AgentDaemon.start(settings, services);
 	 */
--- a/src/agent/node/announceServer.ts
+++ b/src/agent/node/announceServer.ts
@@ -1,12 +1,14 @@
 /** Loopback HTTP server on which the upstream announces itself. */
 
-import { createAdaptorServer, type ServerType } from '@hono/node-server';
+import { createAdaptorServer } from '@hono/node-server';
 import { Hono, type Context } from 'hono';
+import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { Disposable, toDisposable } from '../../base/common/disposable.js';
-import { describeError } from '../../base/common/errors.js';
+import { Disposable } from '../../base/common/disposable.js';
 import { Emitter } from '../../base/common/event.js';
-import { formatAddress, parseAddress } from '../../platform/transport/node/address.js';
+import { ownServer } from '../../platform/http/node/httpServer.js';
+import { formatAddress } from '../../platform/transport/node/address.js';
+import { listenOn } from '../../platform/transport/node/listen.js';
 import { announcementSchema, type Announcement } from '../common/announcement.js';
 
 const maxBodyBytes = 16_384;
@@ -36,7 +38,7 @@
 	private readonly _onDidWithdraw = this._register(new Emitter<undefined>());
 	readonly onDidWithdraw = this._onDidWithdraw.event;
 
-	private readonly _server: ServerType;
+	private readonly _server: Server;
 
 	private constructor(private readonly _source: IUpstreamStatusSource) {
 		super();
@@ -44,34 +46,20 @@
 		app.put('/v1/upstream', (context) => this._announce(context));
 		app.delete('/v1/upstream', (context) => this._withdraw(context));
 		app.get('/v1/upstream', (context) => context.json(this._source.status()));
-		this._server = createAdaptorServer({ fetch: app.fetch });
-		this._register(
-			toDisposable(() => {
-				this._server.close();
-				if ('closeAllConnections' in this._server) {
-					this._server.closeAllConnections();
-				}
-			}),
-		);
+		this._server = createAdaptorServer({ fetch: app.fetch }) as Server;
+		this._register(ownServer(this._server));
 	}
 
 	/**
 	 * Starts to listen.
 	 *
-	 * @throws Error when the address can't be bound
+	 * @throws TransportError when the address can't be bound
 	 * @example
 	 * const server = await AnnounceServer.listen('127.0.0.1:7100', source);
 	 */
 	static async listen(address: string, source: IUpstreamStatusSource): Promise<AnnounceServer> {
-		const { host, port } = parseAddress(address);
 		const announceServer = new AnnounceServer(source);
-		const server = announceServer._server;
-		await new Promise<void>((resolve, reject) => {
-			server.once('error', (error) => {
-				reject(new Error(`announceAddress ${address} can't be bound: ${describeError(error)}.`));
-			});
-			server.listen(port, host, resolve);
-		});
+		await listenOn(announceServer._server, address, 'announceAddress');
 		return announceServer;
 	}
 
--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -7,7 +7,7 @@
 import { getRequestListener } from '@hono/node-server';
 import { waitFor } from '../../base/common/async.js';
 import { monotonicClock } from '../../base/common/clock.js';
-import { Disposable, toDisposable } from '../../base/common/disposable.js';
+import { Disposable } from '../../base/common/disposable.js';
 import { describeError } from '../../base/common/errors.js';
 import type { ControlState, IControlPlane } from '../../control/common/controlPlane.js';
 import { ControlRelay } from '../../control/node/controlRelay.js';
@@ -20,7 +20,9 @@
 	type ConnectionLimits,
 	type PeerIdentity,
 } from '../../platform/transport/common/transport.js';
-import { formatAddress, parseAddress } from '../../platform/transport/node/address.js';
+import { drainServer, ownServer } from '../../platform/http/node/httpServer.js';
+import { formatAddress } from '../../platform/transport/node/address.js';
+import { listenOn } from '../../platform/transport/node/listen.js';
 import type { ConnectionOptions } from '../../platform/transport/node/frameConnection.js';
 import type { ClaimRequest, MemberStatus } from '../../protocol/common/keeperMessages.js';
 import { EntryCore } from '../common/entryCore.js';
@@ -202,7 +204,7 @@
 			const isIdle = jobs.size === 0 && this._api.waitingCount === 0;
 			return performance.now() >= untilMs && isHandedOver && isIdle;
 		});
-		await closeServer(this._server);
+		await drainServer(this._server);
 	}
 
 	/** Whether other entries may still relay jobs to this one. */
@@ -220,12 +222,7 @@
 		this._server.on('request', (request, response) => {
 			void listener(request, response);
 		});
-		this._register(
-			toDisposable(() => {
-				this._server.close();
-				this._server.closeAllConnections();
-			}),
-		);
+		this._register(ownServer(this._server));
 	}
 
 	private _followControl(): void {
@@ -348,24 +345,12 @@
 }
 
 async function listenHttp(address: string): Promise<Server> {
-	const { host, port } = parseAddress(address);
 	const server = createServer();
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', (error) => {
-			const message = `The address ${address} can't be bound: ${describeError(error)}. Choose a free one.`;
-			reject(new SettingsError([{ file: 'settings', key: 'httpAddress', message }]));
-		});
-		server.listen({ host, port }, resolve);
-	});
+	try {
+		await listenOn(server, address);
+	} catch (error) {
+		const message = `${describeError(error)} Choose a free one.`;
+		throw new SettingsError([{ file: 'settings', key: 'httpAddress', message }]);
+	}
 	return server;
 }
-
-/** Stops to listen, lets the last responses out and closes connections that wait for nothing. */
-function closeServer(server: Server): Promise<void> {
-	return new Promise((resolve) => {
-		server.close(() => {
-			resolve();
-		});
-		server.closeIdleConnections();
-	});
-}
--- a/src/keeper/node/operatorServer.ts
+++ b/src/keeper/node/operatorServer.ts
@@ -1,18 +1,17 @@
 /** The operators' HTTP interface of a keeper. Reads are answered here; changes go through the replicated log. */
 
 import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { createAdaptorServer } from '@hono/node-server';
 import { Hono, type Context } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
 import { match } from 'ts-pattern';
 import { describeError } from '../../base/common/errors.js';
-import { Disposable, toDisposable } from '../../base/common/disposable.js';
+import { Disposable } from '../../base/common/disposable.js';
 import type { DrainSettings } from '../../declarations/common/drainRule.js';
 import type { ILogService } from '../../platform/log/common/log.js';
 import { createTokenCheck } from '../../platform/http/node/operatorToken.js';
-import { formatAddress, parseAddress } from '../../platform/transport/node/address.js';
-import { TransportError } from '../../platform/transport/common/transport.js';
+import { drainServer, ownServer } from '../../platform/http/node/httpServer.js';
+import { listenOn } from '../../platform/transport/node/listen.js';
 import {
 	operatorPaths,
 	type ChangeResult,
@@ -56,12 +55,7 @@
 		readonly address: string,
 	) {
 		super();
-		this._register(
-			toDisposable(() => {
-				_server.close();
-				_server.closeAllConnections();
-			}),
-		);
+		this._register(ownServer(_server));
 	}
 
 	/**
@@ -74,26 +68,12 @@
 	static async listen(address: string, services: OperatorServices): Promise<OperatorServer> {
 		const app = createApp(services);
 		const server = createAdaptorServer({ fetch: app.fetch }) as Server;
-		const { host, port } = parseAddress(address);
-		await new Promise<void>((resolve, reject) => {
-			server.once('error', (error) => {
-				reject(new TransportError(`The address ${address} can't be bound: ${describeError(error)}.`));
-			});
-			server.listen({ host, port }, resolve);
-		});
-		const bound = server.address() as AddressInfo;
-		return new OperatorServer(server, formatAddress(bound.address, bound.port));
+		return new OperatorServer(server, await listenOn(server, address));
 	}
 
 	/** Takes no new connection, and resolves once every request in flight has been answered. */
 	async drain(): Promise<void> {
-		const closed = new Promise<void>((resolve) => {
-			this._server.close(() => {
-				resolve();
-			});
-		});
-		this._server.closeIdleConnections();
-		await closed;
+		await drainServer(this._server);
 	}
 }
 
--- a/src/platform/transport/node/frameListener.ts
+++ b/src/platform/transport/node/frameListener.ts
@@ -1,12 +1,11 @@
 /** Listens on a TCP address for the system's own processes. */
 
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { createServer, type Server, type Socket } from 'node:net';
 import { Disposable, toDisposable } from '../../../base/common/disposable.js';
-import { describeError } from '../../../base/common/errors.js';
 import { Emitter } from '../../../base/common/event.js';
-import { TransportError, type IConnection, type IListener } from '../common/transport.js';
-import { formatAddress, parseAddress } from './address.js';
+import type { IConnection, IListener } from '../common/transport.js';
 import { FrameConnection, type ConnectionOptions } from './frameConnection.js';
+import { listenOn } from './listen.js';
 
 /** Takes connections and hands out those whose peer proved the shared secret. */
 export class FrameListener extends Disposable implements IListener {
@@ -47,16 +46,8 @@
 	 * const listener = await FrameListener.listen('127.0.0.1:0', options);
 	 */
 	static async listen(address: string, options: ConnectionOptions): Promise<FrameListener> {
-		const { host, port } = parseAddress(address);
 		const server = createServer({ noDelay: true });
-		await new Promise<void>((resolve, reject) => {
-			server.once('error', (error) => {
-				reject(new TransportError(`The address ${address} can't be bound: ${describeError(error)}.`));
-			});
-			server.listen({ host, port }, resolve);
-		});
-		const bound = server.address() as AddressInfo;
-		return new FrameListener(server, formatAddress(bound.address, bound.port), options);
+		return new FrameListener(server, await listenOn(server, address), options);
 	}
 
 	private _accept(socket: Socket): void {
--- /dev/null
+++ b/src/platform/transport/node/listen.ts
@@ -0,0 +1,26 @@
+/** Binds servers to the addresses of settings. */
+
+import type { AddressInfo, Server } from 'node:net';
+import { describeError } from '../../../base/common/errors.js';
+import { TransportError } from '../common/transport.js';
+import { formatAddress, parseAddress } from './address.js';
+
+/**
+ * Starts to listen, and returns the address that is bound: the port is chosen where the given one is 0.
+ *
+ * @param what names the address in the error
+ * @throws TransportError when the address isn't an IP number and a port, or can't be bound
+ * @example
+ * const bound = await listenOn(createServer(), '127.0.0.1:0');
+ */
+export async function listenOn(server: Server, address: string, what = 'The address'): Promise<string> {
+	const { host, port } = parseAddress(address);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', (error) => {
+			reject(new TransportError(`${what} ${address} can't be bound: ${describeError(error)}.`));
+		});
+		server.listen({ host, port }, resolve);
+	});
+	const bound = server.address() as AddressInfo;
+	return formatAddress(bound.address, bound.port);
+}
--- a/src/standins/node/standinUpstream.ts
+++ b/src/standins/node/standinUpstream.ts
@@ -1,17 +1,19 @@
 /** Stand-in upstream: takes tasks over HTTP as docs/UPSTREAMS.md describes, and waits instead of working. */
 
-import { createAdaptorServer, type ServerType } from '@hono/node-server';
+import { createAdaptorServer } from '@hono/node-server';
 import { Hono, type Context } from 'hono';
 import type { ContentfulStatusCode } from 'hono/utils/http-status';
+import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { delay } from '../../base/common/async.js';
-import { Disposable, toDisposable } from '../../base/common/disposable.js';
-import { describeError } from '../../base/common/errors.js';
+import { Disposable } from '../../base/common/disposable.js';
 import { SeededRandom } from '../../base/common/random.js';
 import { PreciseTimer } from '../../base/node/preciseTimer.js';
 import type { IDaemon } from '../../platform/daemon/node/daemon.js';
 import type { ILogService } from '../../platform/log/common/log.js';
-import { formatAddress, parseAddress } from '../../platform/transport/node/address.js';
+import { ownServer } from '../../platform/http/node/httpServer.js';
+import { formatAddress } from '../../platform/transport/node/address.js';
+import { listenOn } from '../../platform/transport/node/listen.js';
 import { taskKey, type TaskIdentity } from '../../protocol/common/jobs.js';
 import type { IJournal, JournalEvent, JournalEventName } from '../common/journal.js';
 import {
@@ -31,7 +33,7 @@
 	private readonly _random: SeededRandom;
 	/** Tasks end at their time to a small part of a millisecond, since the bench's ideal counts on it. */
 	private readonly _clock = this._register(new PreciseTimer());
-	private readonly _server: ServerType;
+	private readonly _server: Server;
 	private _announcer: Announcer | undefined;
 
 	private constructor(
@@ -47,21 +49,14 @@
 		app.post('/v1/tasks/:submissionId/:taskIndex/throttle', (context) => this._throttle(context));
 		app.post('/v1/tasks/:submissionId/:taskIndex/checkpoint', (context) => this._checkpoint(context));
 		app.get('/v1/usage', (context) => context.json({ tasks: this._usage() }));
-		this._server = createAdaptorServer({ fetch: app.fetch });
-		this._register(
-			toDisposable(() => {
-				this._server.close();
-				if ('closeAllConnections' in this._server) {
-					this._server.closeAllConnections();
-				}
-			}),
-		);
+		this._server = createAdaptorServer({ fetch: app.fetch }) as Server;
+		this._register(ownServer(this._server));
 	}
 
 	/**
 	 * Starts a stand-in and announces it.
 	 *
-	 * @throws Error when the address can't be bound
+	 * @throws TransportError when the address can't be bound
 	 * @example
 	 * const upstream = await StandinUpstream.start(options, nullJournal, log);
 	 */
@@ -71,15 +66,7 @@
 		log: ILogService,
 	): Promise<StandinUpstream> {
 		const upstream = new StandinUpstream(options, journal, log);
-		const { host, port } = parseAddress(options.httpAddress);
-		const server = upstream._server;
-		await new Promise<void>((resolve, reject) => {
-			server.once('error', (error) => {
-				reject(new Error(`The address ${options.httpAddress} can't be bound: ${describeError(error)}.`));
-			});
-			server.listen(port, host, resolve);
-		});
-		const httpAddress = upstream.httpAddress;
+		const httpAddress = await listenOn(upstream._server, options.httpAddress);
 		upstream._announcer = upstream._register(new Announcer(options, httpAddress, log));
 		log.info('process.ready', { httpAddress, upstreamId: options.upstreamId });
 		return upstream;
