Ask the tables whether a run of an entry is listed or connected

Read of the whole change: whether the directory lists a run of an entry stood in three systems, whether the newest session is with it in three, in three forms; the home's order was worked out in two. The entry that an agent answers was kept on the job's row, although only the start that names it needs it. Exported functions of the split quota granter had no doc comment.

Change: isListed and sessionWith of the tables, homeOrder and homeMember. The entry to answer goes with the start. No behaviour changes.

--- a/src/entry/common/entryTables.ts
+++ b/src/entry/common/entryTables.ts
@@ -4,6 +4,7 @@
 import type { SeededRandom } from '../../base/common/random.js';
 import type { ControlState } from '../../control/common/controlPlane.js';
 import { emptyTables, type RouteRow, type TeamRow } from '../../declarations/common/tables.js';
+import type { EntryMember } from '../../protocol/common/keeperMessages.js';
 import type { PeerIdentity } from '../../platform/transport/common/transport.js';
 import { DeadlineQueue } from './deadlineQueue.js';
 import { EntryStats } from './entryStats.js';
@@ -29,6 +30,9 @@
 /** Released claims of which a late release could still meet a new claim; a release travels for seconds at most. */
 const maxReleasedClaims = 20_000;
 
+/** One run of an entry. */
+export type EntryRunKey = Pick<EntryMember, 'processId' | 'incarnation'>;
+
 /** The tables of one entry. */
 export class EntryTables {
 	control: ControlState = { tables: emptyTables, directory: { epoch: 0, entries: [] } };
@@ -122,6 +126,20 @@
 		return this.isStopping || this.isDrainedByOperator;
 	}
 
+	/** Whether the present directory lists a run of an entry. */
+	isListed({ processId, incarnation }: EntryRunKey): boolean {
+		return this.control.directory.entries.some(
+			(entry) => entry.processId === processId && entry.incarnation === incarnation,
+		);
+	}
+
+	/** Newest session of an entry, if it is with this run of it. */
+	sessionWith({ processId, incarnation }: EntryRunKey): number | undefined {
+		const sessionId = this.entrySessions.get(processId);
+		const isSameRun = sessionId !== undefined && this.sessions.get(sessionId)?.incarnation === incarnation;
+		return isSameRun ? sessionId : undefined;
+	}
+
 	/** Workers that serve a pool now, connected or not, and the sums over them. */
 	workersOf(pool: string): PoolWorkers {
 		return this.workers.inPool(pool, this.nowMs);
--- a/src/entry/common/jobRow.ts
+++ b/src/entry/common/jobRow.ts
@@ -66,8 +66,6 @@
 	readonly readers: LocalReader[] = [];
 	/** Entries that relayed the job here, by process id. */
 	readonly relayers = new Set<string>();
-	/** Entry that the agent was asked to answer, besides this one. */
-	answerTo: EntryRun | undefined;
 	/** Entry that an agent has answered. */
 	answeredEntry: EntryRun | undefined;
 	readonly states: TaskState[];
--- a/src/entry/common/outbox.ts
+++ b/src/entry/common/outbox.ts
@@ -1,6 +1,11 @@
 /** Collects what a tick sends, so that each peer gets at most one frame of a kind a tick. */
 
-import type { EntryToAgentMessage, StartBatch, TaskStart } from '../../protocol/common/agentMessages.js';
+import type {
+	EntryRun,
+	EntryToAgentMessage,
+	StartBatch,
+	TaskStart,
+} from '../../protocol/common/agentMessages.js';
 import type { EntryToEntryMessage, RelayAnswer } from '../../protocol/common/entryMessages.js';
 import type { JobSubmission, TaskIdentity } from '../../protocol/common/jobs.js';
 import type { EntryStats } from './entryStats.js';
@@ -15,6 +20,14 @@
 	readonly ageMs: number;
 }
 
+/** One task to start. */
+export interface OutgoingStart {
+	readonly taskIndex: number;
+	readonly attempt: number;
+	/** Entry that the agent answers besides this one; the same for all tasks of a job in a tick. */
+	readonly answerTo: EntryRun | undefined;
+}
+
 /** Everything for one session in one tick. */
 class SessionOutbox {
 	readonly starts = new Map<JobRow, StartBatch & { readonly tasks: TaskStart[] }>();
@@ -56,7 +69,12 @@
 	}
 
 	/** Adds a task to the start frame of a session. */
-	start(sessionId: number, job: JobRow, taskIndex: number, attempt: number, nowMs: number): void {
+	start(
+		sessionId: number,
+		job: JobRow,
+		{ taskIndex, attempt, answerTo }: OutgoingStart,
+		nowMs: number,
+	): void {
 		const { starts } = this.to(sessionId);
 		let batch = starts.get(job);
 		if (batch === undefined) {
@@ -69,7 +87,7 @@
 				needs,
 				startWithinMs: remainingMs,
 				leaseMs: remainingMs,
-				...(job.answerTo === undefined ? {} : { answerTo: job.answerTo }),
+				...(answerTo === undefined ? {} : { answerTo }),
 				tasks: [],
 			};
 			starts.set(job, batch);
--- a/src/entry/common/quotaState.ts
+++ b/src/entry/common/quotaState.ts
@@ -1,6 +1,7 @@
 /** What an entry knows of team quotas: the parts that it has leased, and, while it grants them, all parts. */
 
 import type { QuotaDemandMessage, QuotaHandOverMessage } from '../../protocol/common/entryMessages.js';
+import type { EntryRunKey } from './entryTables.js';
 import type { QuotaLedger, QuotaPart } from './quotaLedger.js';
 
 /** A part of a team's quota that this entry may use. */
@@ -46,7 +47,7 @@
 /** State of the quotas at one entry. */
 export class QuotaState {
 	/** The entry that grants quotas, by the control state. */
-	granter: { readonly processId: string; readonly incarnation: string } | undefined;
+	granter: EntryRunKey | undefined;
 	/** Present while this entry is the granter. */
 	tenure: GranterTenure | undefined;
 	/** Accounts by team; kept after the tenure until they have been handed over. */
--- a/src/entry/common/systems/controlSystem.ts
+++ b/src/entry/common/systems/controlSystem.ts
@@ -32,14 +32,24 @@
 	return state.directory.epoch > control.directory.epoch + 1;
 }
 
-/** The home that every entry with the same directory gives a pool. */
-export function homeOf(pool: string, entries: readonly EntryMember[], selfId: string): PoolHome {
+/** Entries that may be a pool's home, by process id: the home first, then the one that would follow it, and so on. */
+export function homeOrder(pool: string, entries: readonly EntryMember[]): string[] {
 	const eligible = entries.filter((entry) => !entry.isDraining);
-	const [first] = rendezvousOrder(
+	return rendezvousOrder(
 		pool,
 		eligible.map((entry) => entry.processId),
 	);
-	const member = eligible.find((entry) => entry.processId === first);
+}
+
+/** The entry that every entry with the same directory takes for a pool's home. */
+export function homeMember(pool: string, entries: readonly EntryMember[]): EntryMember | undefined {
+	const [first] = homeOrder(pool, entries);
+	return entries.find((entry) => entry.processId === first);
+}
+
+/** A pool's home, as seen by one entry. */
+export function homeOf(pool: string, entries: readonly EntryMember[], selfId: string): PoolHome {
+	const member = homeMember(pool, entries);
 	if (member === undefined) {
 		return { kind: 'none' };
 	}
--- a/src/entry/common/systems/directAnswerSystem.ts
+++ b/src/entry/common/systems/directAnswerSystem.ts
@@ -21,8 +21,9 @@
 	if (relayer === undefined || job.taskCount > 1 || job.relayers.size > 1 || job.readers.length > 0) {
 		return undefined;
 	}
-	const incarnation = incarnationOf(tables, relayer);
-	return incarnation === undefined ? undefined : { entryId: relayer, incarnation };
+	const sessionId = tables.entrySessions.get(relayer);
+	const peer = sessionId === undefined ? undefined : tables.sessions.get(sessionId);
+	return peer === undefined ? undefined : { entryId: relayer, incarnation: peer.incarnation };
 }
 
 /** Data centre of the entry that an agent may answer. */
@@ -36,7 +37,10 @@
 /** Whether the agent has answered a relaying entry, so that this home need not. */
 export function isAnswered(tables: EntryTables, job: JobRow, relayer: string): boolean {
 	const { answeredEntry } = job;
-	return answeredEntry?.entryId === relayer && answeredEntry.incarnation === incarnationOf(tables, relayer);
+	if (answeredEntry?.entryId !== relayer) {
+		return false;
+	}
+	return tables.sessionWith({ processId: relayer, incarnation: answeredEntry.incarnation }) !== undefined;
 }
 
 /** Takes an agent's answer to a job that this entry has relayed. One that was answered meanwhile is left alone. */
@@ -49,8 +53,3 @@
 	}
 	finishJob(tables, outputs, job, { status: 'complete', resultsJson: [end.resultJson] });
 }
-
-function incarnationOf(tables: EntryTables, entryId: string): string | undefined {
-	const sessionId = tables.entrySessions.get(entryId);
-	return sessionId === undefined ? undefined : tables.sessions.get(sessionId)?.incarnation;
-}
--- a/src/entry/common/systems/handOverSystem.ts
+++ b/src/entry/common/systems/handOverSystem.ts
@@ -11,7 +11,7 @@
 	HandOverTakenMessage,
 	RememberedAnswer,
 } from '../../../protocol/common/entryMessages.js';
-import type { EntryTables } from '../entryTables.js';
+import type { EntryRunKey, EntryTables } from '../entryTables.js';
 import { enqueue, stopJob } from '../jobLife.js';
 import type { JobRow, PendingRefusal } from '../jobRow.js';
 import type { PoolState } from '../poolState.js';
@@ -37,13 +37,7 @@
  * so no other entry has taken it for dead.
  */
 export function mayGoOn(tables: EntryTables, hasMissedDirectories: boolean): boolean {
-	const { processId, incarnation } = tables.options;
-	return (
-		!hasMissedDirectories &&
-		tables.control.directory.entries.some(
-			(entry) => entry.processId === processId && entry.incarnation === incarnation,
-		)
-	);
+	return !hasMissedDirectories && tables.isListed(tables.options);
 }
 
 /**
@@ -156,10 +150,7 @@
 }
 
 /** The entry that goes on with a submission, if it is still listed. */
-export function ownerElsewhere(
-	tables: EntryTables,
-	job: JobRow,
-): { readonly processId: string; readonly incarnation: string } | undefined {
+export function ownerElsewhere(tables: EntryTables, job: JobRow): EntryRunKey | undefined {
 	const name = tables.poolOf(job.pool).ownedElsewhere.get(job.submissionId);
 	const entry = tables.control.directory.entries.find((candidate) => candidate.processId === name);
 	return entry === undefined ? undefined : { processId: entry.processId, incarnation: entry.incarnation };
--- a/src/entry/common/systems/placementSystem.ts
+++ b/src/entry/common/systems/placementSystem.ts
@@ -91,7 +91,6 @@
 	}
 	const { submissionId } = job;
 	const attempt = attemptOf(tables, job, taskIndex);
-	job.answerTo = entryToAnswer(tables, job);
 	job.markSent(taskIndex, worker.processId);
 	worker.assign(taskKey({ submissionId, taskIndex }), {
 		submissionId,
@@ -101,7 +100,8 @@
 		epoch: tables.epoch,
 		attempt,
 	});
-	tables.outbox.start(worker.sessionId, job, taskIndex, attempt, tables.nowMs);
+	const answerTo = entryToAnswer(tables, job);
+	tables.outbox.start(worker.sessionId, job, { taskIndex, attempt, answerTo }, tables.nowMs);
 	tables.addRunning(queue.team, 1);
 	tables.stats.startsSent += 1;
 	pool.queuedTasks -= 1;
--- a/src/entry/common/systems/quotaGranterSystem.ts
+++ b/src/entry/common/systems/quotaGranterSystem.ts
@@ -4,10 +4,9 @@
  * ever adding up to more than the quota.
  */
 
-import { rendezvousOrder } from '../../../base/common/rendezvous.js';
 import type { PeerIdentity } from '../../../platform/transport/common/transport.js';
 import type { QuotaDemandMessage, QuotaHandOverMessage } from '../../../protocol/common/entryMessages.js';
-import type { EntryTables } from '../entryTables.js';
+import type { EntryRunKey, EntryTables } from '../entryTables.js';
 import {
 	assuredLeaseMs,
 	QuotaLedger,
@@ -16,7 +15,7 @@
 	type QuotaPart,
 } from '../quotaLedger.js';
 import type { GranterTenure } from '../quotaState.js';
-import { homeOf } from './controlSystem.js';
+import { homeMember, homeOrder } from './controlSystem.js';
 
 /** Age of the control state past which a granter grants nothing: another entry may be the granter. */
 const grantAgeLimitMs = 500;
@@ -123,17 +122,9 @@
  * The entry that every entry with the same control state takes for the granter: the home of the first pool, so that
  * where there is one pool its home asks nobody.
  */
-function granterOf(
-	tables: EntryTables,
-): { readonly processId: string; readonly incarnation: string } | undefined {
-	const { control } = tables;
+function granterOf({ control }: EntryTables): EntryRunKey | undefined {
 	const [firstPool] = control.tables.pools.map((row) => row.name).sort();
-	if (firstPool === undefined) {
-		return undefined;
-	}
-	const home = homeOf(firstPool, control.directory.entries, tables.options.processId);
-	const name = home.kind === 'self' ? tables.options.processId : home.kind === 'other' && home.processId;
-	return control.directory.entries.find((entry) => entry.processId === name);
+	return firstPool === undefined ? undefined : homeMember(firstPool, control.directory.entries);
 }
 
 /** Whether this entry is the granter for sure, and knows every lease that is in force. */
@@ -146,11 +137,13 @@
 	return nowMs >= (quotas.tenure?.wholeMs ?? Infinity);
 }
 
+/** Answers one holder's demand for one team; undefined for a question that came late or twice. */
 export function grant(tables: EntryTables, team: string, demand: QuotaDemand): QuotaPart | undefined {
 	const quota = tables.teamRows.get(team)?.maxRunningTasks ?? 0;
 	return ledgerOf(tables, team).grant(demand, quota, tables.nowMs, isWhole(tables));
 }
 
+/** Answers the other entries' questions of this tick. */
 export function answerDemands(tables: EntryTables): void {
 	const { quotas, revision, epoch } = tables;
 	for (const { sessionId, holder, message } of quotas.waitingDemands.splice(0)) {
@@ -172,15 +165,13 @@
 	}
 }
 
-export function granterSession({ quotas, entrySessions, sessions }: EntryTables): number | undefined {
-	const { granter } = quotas;
-	const sessionId = granter === undefined ? undefined : entrySessions.get(granter.processId);
-	if (sessionId === undefined || sessions.get(sessionId)?.incarnation !== granter?.incarnation) {
-		return undefined;
-	}
-	return sessionId;
+/** Session with the granter, if it is another entry that can be reached. */
+export function granterSession(tables: EntryTables): number | undefined {
+	const { granter } = tables.quotas;
+	return granter === undefined ? undefined : tables.sessionWith(granter);
 }
 
+/** Hands the accounts of a tenure that has ended to the next granter, once it can be reached. */
 export function handOverQuotas(tables: EntryTables): void {
 	const { quotas, nowMs, revision, epoch } = tables;
 	const sessionId = granterSession(tables);
@@ -199,10 +190,8 @@
 
 /** Whether this entry would be the home of a pool if its home were lost. */
 function isNextHome({ control, options }: EntryTables): boolean {
-	const names = control.directory.entries
-		.filter((entry) => !entry.isDraining)
-		.map((entry) => entry.processId);
-	return control.tables.pools.some(({ name }) => rendezvousOrder(name, names)[1] === options.processId);
+	const { entries } = control.directory;
+	return control.tables.pools.some(({ name }) => homeOrder(name, entries)[1] === options.processId);
 }
 
 function ledgerOf({ quotas }: EntryTables, team: string): QuotaLedger {
@@ -214,6 +203,7 @@
 	return ledger;
 }
 
-export function holderKey({ processId, incarnation }: { processId: string; incarnation: string }): string {
+/** Text form of a run of an entry, for the accounts. */
+export function holderKey({ processId, incarnation }: EntryRunKey): string {
 	return `${processId}/${incarnation}`;
 }
--- a/src/entry/common/systems/routingSystem.ts
+++ b/src/entry/common/systems/routingSystem.ts
@@ -7,7 +7,7 @@
 
 import type { JobAnswer } from '../../../protocol/common/jobs.js';
 import type { ClaimOutcome, ClaimRequest } from '../../../protocol/common/keeperMessages.js';
-import type { EntryTables } from '../entryTables.js';
+import type { EntryRunKey, EntryTables } from '../entryTables.js';
 import { admit, dequeue, enqueue, finishJob, releaseClaim, stopJob } from '../jobLife.js';
 import type { JobRow, RelayTarget } from '../jobRow.js';
 import type { PoolHome, PoolState } from '../poolState.js';
@@ -40,8 +40,8 @@
 		return;
 	}
 	const home: PoolHome = owner === undefined ? pool.home : { kind: 'other', ...owner };
-	const sessionId = home.kind === 'other' ? tables.entrySessions.get(home.processId) : undefined;
-	if (home.kind === 'other' && sessionId !== undefined && isSessionOf(tables, sessionId, home.incarnation)) {
+	const sessionId = home.kind === 'other' ? tables.sessionWith(home) : undefined;
+	if (home.kind === 'other' && sessionId !== undefined) {
 		relay(tables, job, home, sessionId);
 		return;
 	}
@@ -231,12 +231,7 @@
 	tables.waitingJobs.add(job);
 }
 
-function relay(
-	tables: EntryTables,
-	job: JobRow,
-	home: { readonly processId: string; readonly incarnation: string },
-	sessionId: number,
-): void {
+function relay(tables: EntryTables, job: JobRow, home: EntryRunKey, sessionId: number): void {
 	const { processId, incarnation } = home;
 	const isRepeated = job.relayedTo?.processId === processId && job.relayedTo.incarnation === incarnation;
 	job.relayedTo = { processId, incarnation, sessionId };
@@ -257,10 +252,7 @@
 	if (holder === undefined) {
 		return;
 	}
-	const isListed = tables.control.directory.entries.some(
-		(entry) => entry.processId === holder.processId && entry.incarnation === holder.incarnation,
-	);
-	if (isListed) {
+	if (tables.isListed(holder)) {
 		repeatRelay(tables, job, holder, mayAnswerBeLost);
 		return;
 	}
@@ -274,11 +266,8 @@
 
 /** After a broken connection the home is asked again; it joins the job that it has, or knows the answer. */
 function repeatRelay(tables: EntryTables, job: JobRow, holder: RelayTarget, mayAnswerBeLost: boolean): void {
-	const sessionId = tables.entrySessions.get(holder.processId);
-	if (sessionId === undefined || (sessionId === holder.sessionId && !mayAnswerBeLost)) {
-		return;
-	}
-	if (isSessionOf(tables, sessionId, holder.incarnation)) {
+	const sessionId = tables.sessionWith(holder);
+	if (sessionId !== undefined && (sessionId !== holder.sessionId || mayAnswerBeLost)) {
 		relay(tables, job, holder, sessionId);
 	}
 }
@@ -304,7 +293,3 @@
 		});
 	}
 }
-
-function isSessionOf(tables: EntryTables, sessionId: number, incarnation: string): boolean {
-	return tables.sessions.get(sessionId)?.incarnation === incarnation;
-}
--- a/src/entry/common/systems/tenureSystem.ts
+++ b/src/entry/common/systems/tenureSystem.ts
@@ -64,10 +64,7 @@
 	if (before.kind !== 'other') {
 		return undefined;
 	}
-	const isListed = tables.control.directory.entries.some(
-		(entry) => entry.processId === before.processId && entry.incarnation === before.incarnation,
-	);
-	return isListed ? before.processId : undefined;
+	return tables.isListed(before) ? before.processId : undefined;
 }
 
 function logHome(tables: EntryTables, pool: PoolState, outputs: EntryOutputs): void {
