Share the operator's changes of the slopes and a harness of the keepers' tests

Read of the whole change: two slopes made the same operator client, two tests the same connection that is to be closed, and the same harness. What they assert is unchanged.

--- a/src/bench/node/keeperSlopes.ts
+++ b/src/bench/node/keeperSlopes.ts
@@ -30,6 +30,7 @@
 const idleSpanMs = 4000;
 const changes = 60;
 const inForceTimeoutMs = 10_000;
+const operatorTimeoutMs = 15_000;
 
 interface KeeperSample {
 	readonly subscribers: number;
@@ -86,14 +87,7 @@
 		);
 		const { pid } = keeper.process;
 		const idle = await meterIdle(pid, [keeper.peerProxy], idleSpanMs);
-		const operator = store.add(
-			new OperatorClient({
-				addresses: [keeper.operatorAddress],
-				token: localOperatorToken,
-				timeoutMs: 15_000,
-			}),
-		);
-		const changing = await meter(pid, [keeper.peerProxy], () => makeChanges(operator, clients));
+		const changing = await meter(pid, [keeper.peerProxy], () => makeChanges(keeper, clients));
 		return { subscribers, idle, changing };
 	} finally {
 		store.dispose();
@@ -113,9 +107,26 @@
 
 /** Makes changes one after the other, and waits until every subscriber has the last one. */
 export async function makeChanges(
-	operator: OperatorClient,
+	keeper: LocalKeeper,
 	clients: readonly ControlPlaneClient[],
 ): Promise<void> {
+	const { operatorAddress } = keeper;
+	const operator = new OperatorClient({
+		addresses: [operatorAddress],
+		token: localOperatorToken,
+		timeoutMs: operatorTimeoutMs,
+	});
+	try {
+		await changeTables(operator);
+		await waitFor('every subscriber has the last change', inForceTimeoutMs, () =>
+			clients.every((client) => client.state.tables.revision === changes),
+		);
+	} finally {
+		operator.dispose();
+	}
+}
+
+async function changeTables(operator: OperatorClient): Promise<void> {
 	for (let revision = 0; revision < changes; revision += 1) {
 		const answer = await operator.change({
 			requestId: randomUUID(),
@@ -129,7 +140,4 @@
 			throw new Error(`Change ${revision + 1} was not accepted.`);
 		}
 	}
-	await waitFor('every subscriber has the last change', inForceTimeoutMs, () =>
-		clients.every((client) => client.state.tables.revision === changes),
-	);
 }
--- a/src/bench/node/relaySlopes.ts
+++ b/src/bench/node/relaySlopes.ts
@@ -3,10 +3,9 @@
 import { waitFor } from '../../base/common/async.js';
 import { DisposableStore } from '../../base/common/disposable.js';
 import { ControlPlaneClient } from '../../control/node/controlPlaneClient.js';
-import { OperatorClient } from '../../operator/node/operatorClient.js';
 import { nullLogService } from '../../platform/log/common/log.js';
 import type { LocalKeeper } from '../../proof/node/localDaemon.js';
-import { LocalSystem, localOperatorToken, localSharedSecret } from '../../proof/node/localSystem.js';
+import { LocalSystem, localSharedSecret } from '../../proof/node/localSystem.js';
 import { fitLine, type LinearFit } from '../common/linearFit.js';
 import { makeChanges, perChange } from './keeperSlopes.js';
 import { meter, meterIdle, type MeteredUsage } from './usageMeter.js';
@@ -94,14 +93,7 @@
 			{ pid: entry.process.pid, links: [entry.peerProxy] },
 		];
 		const idle = await Promise.all(roles.map(({ pid, links }) => meterIdle(pid, links, idleSpanMs)));
-		const operator = store.add(
-			new OperatorClient({
-				addresses: [keeper.operatorAddress],
-				token: localOperatorToken,
-				timeoutMs: 15_000,
-			}),
-		);
-		const changes = makeChanges(operator, clients);
+		const changes = makeChanges(keeper, clients);
 		const changing = await Promise.all(roles.map(({ pid, links }) => meter(pid, links, () => changes)));
 		const [keeperIdle, entryIdle] = idle;
 		const [keeperChanging, entryChanging] = changing;
--- a/src/keeper/node/test/keeperHarness.ts
+++ b/src/keeper/node/test/keeperHarness.ts
@@ -1,11 +1,18 @@
 /** Keepers and subscribers inside the test's process, on real sockets and over an in-memory log. */
 
 import { Ok, Err, type Result } from 'ts-results-es';
+import { waitFor } from '../../../base/common/async.js';
 import { DisposableStore } from '../../../base/common/disposable.js';
 import { Emitter } from '../../../base/common/event.js';
 import { ControlPlaneClient } from '../../../control/node/controlPlaneClient.js';
 import { nullLogService } from '../../../platform/log/common/log.js';
-import type { ProcessRole } from '../../../platform/transport/common/transport.js';
+import {
+	defaultConnectionLimits,
+	type Message,
+	type PeerIdentity,
+	type ProcessRole,
+} from '../../../platform/transport/common/transport.js';
+import { FrameConnector } from '../../../platform/transport/node/frameConnector.js';
 import type { MemberStatus } from '../../../protocol/common/keeperMessages.js';
 import type { ChangeRequest, ChangeResult } from '../../../protocol/common/operatorApi.js';
 import { ProposeError, type ReplicaStatus } from '../../../replication/common/replicatedLog.js';
@@ -205,6 +212,21 @@
 		return client;
 	}
 
+	/** Sends one message as some process, and waits until the keeper has closed the connection. */
+	async sendUntilClosed(keeper: TestKeeper, identity: PeerIdentity, message: Message): Promise<void> {
+		const limits = defaultConnectionLimits;
+		const connector = this.add(new FrameConnector(keeper.daemon.peerAddress, { identity, secret, limits }));
+		let isClosed = false;
+		connector.onDidConnect((connection) => {
+			connection.onDidClose(() => {
+				isClosed = true;
+			});
+			connection.send(message);
+		});
+		await waitFor(`the connection of ${identity.role} ${identity.processId} is closed`, 3000, () => isClosed);
+		connector.dispose();
+	}
+
 	async change(keeper: TestKeeper, request: ChangeRequest): Promise<ChangeResult> {
 		const command = { kind: 'changeTables', request, acceptedAt: '2026-01-01T00:00:00Z' };
 		const result = await keeper.log.propose(encodeValue(command));
@@ -212,6 +234,16 @@
 	}
 }
 
+/** Runs a test body with a harness, and disposes of it whatever happens. */
+export async function withHarness(run: (harness: KeeperHarness) => Promise<void>): Promise<void> {
+	const harness = new KeeperHarness();
+	try {
+		await run(harness);
+	} finally {
+		harness.dispose();
+	}
+}
+
 export function memberStatus(status: Partial<MemberStatus> = {}): MemberStatus {
 	return { dataCentre: 'dc-1', rack: 'rack-1', isDraining: false, revisionInForce: 0, ...status };
 }
--- a/src/keeper/node/test/relay.test.ts
+++ b/src/keeper/node/test/relay.test.ts
@@ -2,10 +2,15 @@
 import { waitFor } from '../../../base/common/async.js';
 import { ControlPlaneClient } from '../../../control/node/controlPlaneClient.js';
 import { nullLogService } from '../../../platform/log/common/log.js';
-import { defaultConnectionLimits } from '../../../platform/transport/common/transport.js';
-import { FrameConnector } from '../../../platform/transport/node/frameConnector.js';
 import type { ProcessStatus } from '../../../protocol/common/operatorApi.js';
-import { drainChange, KeeperHarness, memberStatus, secret, type TestKeeper } from './keeperHarness.js';
+import {
+	drainChange,
+	memberStatus,
+	secret,
+	withHarness,
+	type KeeperHarness,
+	type TestKeeper,
+} from './keeperHarness.js';
 import { startRelayedAgent, TestRelay } from './relayHarness.js';
 
 /** Age of the state after which an agent leaves an entry that has not ended. */
@@ -14,15 +19,6 @@
 /** Age that no state may reach under a single fault. */
 const ageLimitMs = 3000;
 
-async function withHarness(run: (harness: KeeperHarness) => Promise<void>): Promise<void> {
-	const harness = new KeeperHarness();
-	try {
-		await run(harness);
-	} finally {
-		harness.dispose();
-	}
-}
-
 async function startKeepers(harness: KeeperHarness, count: number): Promise<TestKeeper[]> {
 	const keepers: TestKeeper[] = [];
 	for (let index = 1; index <= count; index += 1) {
@@ -225,29 +221,15 @@
 			{ role: 'agent', member: { ...forged, role: 'agent' } },
 		] as const;
 		for (const { role, member } of senders) {
-			const connector = harness.add(
-				new FrameConnector(keeper.daemon.peerAddress, {
-					identity: { role, processId: 'sender-1', incarnation: '1' },
-					secret,
-					limits: defaultConnectionLimits,
-				}),
-			);
-			let isClosed = false;
-			connector.onDidConnect((connection) => {
-				connection.onDidClose(() => {
-					isClosed = true;
-				});
-				const report = {
-					kind: 'memberReports',
-					members: [member],
-					heardWithinMs: 500,
-					relayedWithinMs: 1000,
-					silent: [],
-				};
-				connection.send(report);
-			});
-			await waitFor(`the connection of the ${role} is closed`, 3000, () => isClosed);
-			connector.dispose();
+			const identity = { role, processId: 'sender-1', incarnation: '1' };
+			const report = {
+				kind: 'memberReports',
+				members: [member],
+				heardWithinMs: 500,
+				relayedWithinMs: 1000,
+				silent: [],
+			};
+			await harness.sendUntilClosed(keeper, identity, report);
 		}
 		t.is(statusOf(keeper, 'entry-9'), undefined);
 	});
--- a/src/keeper/node/test/subscriptions.test.ts
+++ b/src/keeper/node/test/subscriptions.test.ts
@@ -1,17 +1,7 @@
 import test from 'ava';
 import { waitFor } from '../../../base/common/async.js';
-import { defaultConnectionLimits, type Message } from '../../../platform/transport/common/transport.js';
-import { FrameConnector } from '../../../platform/transport/node/frameConnector.js';
-import { drainChange, KeeperHarness, memberStatus, secret } from './keeperHarness.js';
-
-async function withHarness(run: (harness: KeeperHarness) => Promise<void>): Promise<void> {
-	const harness = new KeeperHarness();
-	try {
-		await run(harness);
-	} finally {
-		harness.dispose();
-	}
-}
+import type { Message } from '../../../platform/transport/common/transport.js';
+import { drainChange, memberStatus, withHarness } from './keeperHarness.js';
 
 test('a subscriber gets changes as they are accepted, and knows how old its state can be', async (t) => {
 	await withHarness(async (harness) => {
@@ -149,22 +139,8 @@
 			{ kind: 'nonsense' },
 		];
 		for (const [index, message] of malformed.entries()) {
-			const connector = harness.add(
-				new FrameConnector(keeper.daemon.peerAddress, {
-					identity: { role: 'entry', processId: `entry-${index}`, incarnation: '1' },
-					secret,
-					limits: defaultConnectionLimits,
-				}),
-			);
-			let isClosed = false;
-			connector.onDidConnect((connection) => {
-				connection.onDidClose(() => {
-					isClosed = true;
-				});
-				connection.send(message as Message);
-			});
-			await waitFor(`the connection with message ${index} is closed`, 3000, () => isClosed);
-			connector.dispose();
+			const identity = { role: 'entry', processId: `entry-${index}`, incarnation: '1' } as const;
+			await harness.sendUntilClosed(keeper, identity, message as Message);
 		}
 		t.is(keeper.daemon.status().claims, 0);
 		const client = harness.startClient('agent-1', 'agent', [keeper]);
