--- a/build/lint/layers.js
+++ b/build/lint/layers.js
@@ -1,7 +1,7 @@
 /**
  * ESLint rule that keeps imports one-way between layers and features.
  *
- * A file lives at `src/<part>/<common|node>/...`, or `src/platform/<service>/<common|node>/...`.
+ * A file lives at `src/<part>/<common|node>/...`, or `src/services/<service>/<common|node>/...`.
  * - A part imports itself and the parts listed for it in `allowedImports`.
  * - A `common` folder imports only `common` folders and no Node.js module.
  * - No file is named `index.ts`.
@@ -11,21 +11,21 @@
 /** Which parts a part may import. Every part may import `base`. */
 export const allowedImports = {
 	base: [],
-	platform: [],
-	declarations: ['platform'],
-	protocol: ['platform', 'declarations'],
-	control: ['platform', 'declarations', 'protocol'],
-	replication: ['platform'],
-	keeper: ['platform', 'declarations', 'protocol', 'control', 'replication'],
-	entry: ['platform', 'declarations', 'protocol', 'control', 'burn'],
-	agent: ['platform', 'declarations', 'protocol', 'control'],
-	burn: ['platform', 'declarations'],
-	operator: ['platform', 'declarations', 'protocol', 'control', 'burn'],
-	standins: ['platform', 'declarations', 'protocol'],
-	proof: ['platform', 'declarations', 'protocol', 'control', 'standins'],
-	bench: ['platform', 'declarations', 'protocol', 'control', 'standins', 'proof', 'entry', 'operator'],
+	services: [],
+	declarations: ['services'],
+	protocol: ['services', 'declarations'],
+	control: ['services', 'declarations', 'protocol'],
+	replication: ['services'],
+	keeper: ['services', 'declarations', 'protocol', 'control', 'replication'],
+	entry: ['services', 'declarations', 'protocol', 'control', 'burn'],
+	agent: ['services', 'declarations', 'protocol', 'control'],
+	burn: ['services', 'declarations'],
+	operator: ['services', 'declarations', 'protocol', 'control', 'burn'],
+	standins: ['services', 'declarations', 'protocol'],
+	proof: ['services', 'declarations', 'protocol', 'control', 'standins'],
+	bench: ['services', 'declarations', 'protocol', 'control', 'standins', 'proof', 'entry', 'operator'],
 	code: [
-		'platform',
+		'services',
 		'declarations',
 		'protocol',
 		'control',
@@ -41,12 +41,12 @@
 	],
 };
 
-/** Splits a path below `src` into its part, its service (platform only), its environment and whether it is a test. */
+/** Splits a path below `src` into its part, its service (services only), its environment and whether it is a test. */
 function locate(sourceRoot, file) {
 	const segments = path.relative(sourceRoot, file).split(path.sep);
 	const part = segments[0];
-	const inPlatform = part === 'platform';
-	const environment = inPlatform ? segments[2] : segments[1];
+	const inServices = part === 'services';
+	const environment = inServices ? segments[2] : segments[1];
 	return { part, environment, isTest: segments.includes('test') };
 }
 
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 import { layersRule } from './build/lint/layers.js';
 
 export default tseslint.config(
-	{ ignores: ['out/**', 'node_modules/**'] },
+	{ ignores: ['out/**', 'target/**', 'journal/**', 'node_modules/**'] },
 	eslint.configs.recommended,
 	{
 		files: ['src/**/*.ts'],
--- a/src/agent/common/agentInputs.ts
+++ b/src/agent/common/agentInputs.ts
@@ -4,7 +4,7 @@
 import type { TableScope } from '../../protocol/common/keeperMessages.js';
 import type { AgentToEntryMessage, EntryToAgentMessage } from '../../protocol/common/agentMessages.js';
 import type { TaskIdentity, TaskNeeds } from '../../protocol/common/jobs.js';
-import type { LogFields } from '../../platform/log/common/log.js';
+import type { LogFields } from '../../services/log/common/log.js';
 import type { Announcement } from './announcement.js';
 import type { TaskUsage } from './taskRecord.js';
 
--- a/src/agent/common/agentMetrics.ts
+++ b/src/agent/common/agentMetrics.ts
@@ -1,6 +1,6 @@
 /** Metrics of an agent, taken from the outputs of its ticks. */
 
-import type { IMetricsService } from '../../platform/metrics/common/metrics.js';
+import type { IMetricsService } from '../../services/metrics/common/metrics.js';
 import type { AgentOutput } from './agentInputs.js';
 import type { AgentTables } from './agentTables.js';
 
--- a/src/agent/common/agentSettings.ts
+++ b/src/agent/common/agentSettings.ts
@@ -7,7 +7,7 @@
 	addressSchema,
 	durationMsSchema,
 	processSettingsShape,
-} from '../../platform/settings/common/settingsSchema.js';
+} from '../../services/settings/common/settingsSchema.js';
 
 /** Schema of an agent's settings file. */
 export const agentSettingsSchema = z
--- a/src/agent/common/agentTables.ts
+++ b/src/agent/common/agentTables.ts
@@ -3,7 +3,7 @@
 import type { TableScope } from '../../protocol/common/keeperMessages.js';
 import { emptyTables, type Tables } from '../../declarations/common/tables.js';
 import type { EntryRun, TaskOutcome, UpstreamOffer } from '../../protocol/common/agentMessages.js';
-import type { LogFields } from '../../platform/log/common/log.js';
+import type { LogFields } from '../../services/log/common/log.js';
 import type { AgentOutput } from './agentInputs.js';
 import { RouteUsageTable } from './routeUsageTable.js';
 import { type Recipient, type TaskRecord } from './taskRecord.js';
--- a/src/agent/common/announcement.ts
+++ b/src/agent/common/announcement.ts
@@ -1,7 +1,7 @@
 /** How an upstream announces itself to its agent. */
 
 import { z } from 'zod';
-import { addressSchema, nameSchema } from '../../platform/settings/common/settingsSchema.js';
+import { addressSchema, nameSchema } from '../../services/settings/common/settingsSchema.js';
 
 /** Longest time for which an announcement holds, so that a lost upstream gets no new start after 2 s. */
 export const maxAnnouncementTtlMs = 2000;
--- a/src/agent/common/entryMessageCheck.ts
+++ b/src/agent/common/entryMessageCheck.ts
@@ -1,7 +1,7 @@
 /** Shape check of messages from entries, cheap enough for each start. */
 
 import type { EntryToAgentMessage } from '../../protocol/common/agentMessages.js';
-import type { Message } from '../../platform/transport/common/transport.js';
+import type { Message } from '../../services/transport/common/transport.js';
 
 /** Whether a message is one that an entry may send to an agent. */
 export function isEntryToAgentMessage(message: Message): message is EntryToAgentMessage {
--- a/src/agent/node/announceServer.ts
+++ b/src/agent/node/announceServer.ts
@@ -6,9 +6,9 @@
 import type { AddressInfo } from 'node:net';
 import { Disposable } from '../../base/common/disposable.js';
 import { Emitter } from '../../base/common/event.js';
-import { ownServer } from '../../platform/http/node/httpServer.js';
-import { formatAddress } from '../../platform/transport/node/address.js';
-import { listenOn } from '../../platform/transport/node/listen.js';
+import { ownServer } from '../../services/http/node/httpServer.js';
+import { formatAddress } from '../../services/transport/node/address.js';
+import { listenOn } from '../../services/transport/node/listen.js';
 import { announcementSchema, type Announcement } from '../common/announcement.js';
 
 const maxBodyBytes = 16_384;
--- a/src/agent/node/entryLinks.ts
+++ b/src/agent/node/entryLinks.ts
@@ -2,10 +2,10 @@
 
 import { Disposable, DisposableStore, toDisposable } from '../../base/common/disposable.js';
 import { Emitter } from '../../base/common/event.js';
-import type { ILogService } from '../../platform/log/common/log.js';
-import type { IConnection, Message } from '../../platform/transport/common/transport.js';
-import type { ConnectionOptions } from '../../platform/transport/node/frameConnection.js';
-import { FrameConnector } from '../../platform/transport/node/frameConnector.js';
+import type { ILogService } from '../../services/log/common/log.js';
+import type { IConnection, Message } from '../../services/transport/common/transport.js';
+import type { ConnectionOptions } from '../../services/transport/node/frameConnection.js';
+import { FrameConnector } from '../../services/transport/node/frameConnector.js';
 import type { EntryToAgentMessage } from '../../protocol/common/agentMessages.js';
 import type { EntryMember } from '../../protocol/common/keeperMessages.js';
 import { isEntryToAgentMessage } from '../common/entryMessageCheck.js';
--- a/src/agent/node/httpWorkerPlatform.ts
+++ b/src/agent/node/httpWorkerPlatform.ts
@@ -3,7 +3,7 @@
 import { Pool, type Dispatcher } from 'undici';
 import { describeError } from '../../base/common/errors.js';
 import { toDisposable } from '../../base/common/disposable.js';
-import type { ILogService } from '../../platform/log/common/log.js';
+import type { ILogService } from '../../services/log/common/log.js';
 import type { RunEnd, TaskRun } from '../common/agentInputs.js';
 import { taskPath, upstreamHeaders, usagePath, usageSchema } from '../common/upstreamProtocol.js';
 import { WorkerPlatform } from '../common/workerPlatform.js';
--- a/src/agent/test/agentHarness.ts
+++ b/src/agent/test/agentHarness.ts
@@ -12,8 +12,8 @@
 	type IConnection,
 	type Message,
 	type PeerIdentity,
-} from '../../platform/transport/common/transport.js';
-import { FrameListener } from '../../platform/transport/node/frameListener.js';
+} from '../../services/transport/common/transport.js';
+import { FrameListener } from '../../services/transport/node/frameListener.js';
 import type {
 	AgentStateMessage,
 	EntryToAgentMessage,
@@ -25,7 +25,7 @@
 import { tablesAt } from './coreModel.js';
 
 const sharedSecret = 'a-secret-for-the-agent-tests';
-const program = path.resolve('out/code/node/main.js');
+const program = path.resolve('out/src/code/node/main.js');
 /** Time for a condition of a test; reached only when it fails. */
 export const patienceMs = 10_000;
 
--- a/src/agent/test/httpWorkerPlatform.test.ts
+++ b/src/agent/test/httpWorkerPlatform.test.ts
@@ -2,7 +2,7 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { Deferred } from '../../base/common/async.js';
 import { DisposableStore, toDisposable } from '../../base/common/disposable.js';
-import { nullLogService } from '../../platform/log/common/log.js';
+import { nullLogService } from '../../services/log/common/log.js';
 import { noNeeds } from '../../protocol/common/jobs.js';
 import type { RunEnd, TaskRun } from '../common/agentInputs.js';
 import { HttpWorkerPlatform } from '../node/httpWorkerPlatform.js';
--- a/src/bench/node/fakeAgent.ts
+++ b/src/bench/node/fakeAgent.ts
@@ -5,8 +5,8 @@
 	defaultConnectionLimits,
 	type IConnection,
 	type Message,
-} from '../../platform/transport/common/transport.js';
-import { FrameConnector } from '../../platform/transport/node/frameConnector.js';
+} from '../../services/transport/common/transport.js';
+import { FrameConnector } from '../../services/transport/node/frameConnector.js';
 import type {
 	AgentStateMessage,
 	EntryToAgentMessage,
--- a/src/bench/node/keeperSlopes.ts
+++ b/src/bench/node/keeperSlopes.ts
@@ -5,7 +5,7 @@
 import { DisposableStore } from '../../base/common/disposable.js';
 import { ControlPlaneClient } from '../../control/node/controlPlaneClient.js';
 import { OperatorClient } from '../../operator/node/operatorClient.js';
-import { nullLogService } from '../../platform/log/common/log.js';
+import { nullLogService } from '../../services/log/common/log.js';
 import type { LocalKeeper } from '../../proof/node/localDaemon.js';
 import { startBenchSystem } from './benchTables.js';
 import { localOperatorToken, localSharedSecret } from '../../proof/node/localSystem.js';
--- a/src/bench/node/relaySlopes.ts
+++ b/src/bench/node/relaySlopes.ts
@@ -3,7 +3,7 @@
 import { waitFor } from '../../base/common/async.js';
 import { DisposableStore } from '../../base/common/disposable.js';
 import { ControlPlaneClient } from '../../control/node/controlPlaneClient.js';
-import { nullLogService } from '../../platform/log/common/log.js';
+import { nullLogService } from '../../services/log/common/log.js';
 import type { LocalKeeper } from '../../proof/node/localDaemon.js';
 import { LocalSystem, localSharedSecret } from '../../proof/node/localSystem.js';
 import { fitLine, type LinearFit } from '../common/linearFit.js';
--- /dev/null
+++ b/src/cluster/node/clusterClient.ts
@@ -0,0 +1,277 @@
+/** Follows the cluster from a few seed addresses: who the other processes are, and which routing is in force. */
+
+import type { IClock } from '../../base/common/clock.js';
+import { Disposable, toDisposable } from '../../base/common/disposable.js';
+import { describeError } from '../../base/common/errors.js';
+import { Emitter } from '../../base/common/event.js';
+import type { RoutingDocument } from '../../routing/common/routingDocument.js';
+import { decodeDocument } from '../../routing/node/routingCodec.js';
+import type { ILogService } from '../../services/log/common/log.js';
+import type { IConnection, Message } from '../../services/transport/common/transport.js';
+import type { ConnectionOptions } from '../../services/transport/node/frameConnection.js';
+import { FrameConnector } from '../../services/transport/node/frameConnector.js';
+import type { ClusterView, EntryAddress, ToSubscriberMessage } from '../common/clusterMessages.js';
+
+/** Time for which a process that no view names any more is still connected to; it may only be cut off. */
+const forgetAfterMs = 60_000;
+/** Time between looks at what can be forgotten, and what must be fetched again. */
+const sweepIntervalMs = 250;
+/** Time that a fetch of the routing may take before another server is asked. */
+const fetchTimeoutMs = 400;
+
+/** What a client is started with. */
+export interface ClusterClientOptions {
+	readonly connection: ConnectionOptions;
+	/** Address that others reach this process at; absent for processes that listen to nobody. */
+	readonly ownAddress?: string | undefined;
+	/** Whether the routing is followed, and entries are asked for it as well as keepers. */
+	readonly followsRouting: boolean;
+	readonly clock: IClock;
+	readonly log: ILogService;
+}
+
+interface Server {
+	readonly address: string;
+	readonly connector: FrameConnector;
+	view: ClusterView | undefined;
+	/** Version that is in force at the server; 0 while unknown. */
+	version: number;
+	fetchSentMs: number;
+}
+
+interface KnownEntry extends EntryAddress {
+	seenMs: number;
+}
+
+/** Keeps a connection to each known server of views. */
+export class ClusterClient extends Disposable {
+	private readonly _onDidChangeView = this._register(new Emitter<undefined>());
+	readonly onDidChangeView = this._onDidChangeView.event;
+
+	private readonly _onDidChangeRouting = this._register(new Emitter<undefined>());
+	readonly onDidChangeRouting = this._onDidChangeRouting.event;
+
+	private readonly _servers = new Map<string, Server>();
+	private readonly _keepersSeenMs = new Map<string, number>();
+	private readonly _entries = new Map<string, KnownEntry>();
+	private _seeds: readonly string[] = [];
+	private _routing: { readonly version: number; readonly document: Uint8Array } | undefined;
+	private _decoded: RoutingDocument | undefined;
+
+	constructor(private readonly _options: ClusterClientOptions) {
+		super();
+		const timer = setInterval(() => {
+			this._sweep();
+		}, sweepIntervalMs);
+		this._register(
+			toDisposable(() => {
+				clearInterval(timer);
+				for (const server of this._servers.values()) {
+					server.connector.dispose();
+				}
+			}),
+		);
+	}
+
+	/** The routing in force, as far as this process has heard. It never goes back to an older version. */
+	get routing(): { readonly version: number; readonly document: Uint8Array } | undefined {
+		return this._routing;
+	}
+
+	/** {@link routing}, decoded. */
+	get document(): RoutingDocument | undefined {
+		return this._decoded;
+	}
+
+	/** Addresses of keepers: the seeds, and what servers tell. */
+	get keepers(): readonly string[] {
+		return [...new Set([...this._seeds, ...this._keepersSeenMs.keys()])];
+	}
+
+	/** Entries that some server tells of, or told of lately. */
+	get entries(): readonly EntryAddress[] {
+		return [...this._entries.values()].map(({ processId, address }) => ({ processId, address }));
+	}
+
+	/** Sends a message to every entry that is connected. */
+	tellEntries(message: Message): void {
+		for (const { connector } of this._servers.values()) {
+			if (connector.connection?.peer.role === 'entry') {
+				connector.connection.send(message);
+			}
+		}
+	}
+
+	/** Entries that are connected. */
+	get connectedEntries(): number {
+		return [...this._servers.values()].filter(({ connector }) => connector.connection?.peer.role === 'entry')
+			.length;
+	}
+
+	/** Replaces the seed addresses. */
+	setSeeds(seeds: readonly string[]): void {
+		this._seeds = seeds;
+		this._connect();
+	}
+
+	/** Takes the view of a process that is connected in another way. */
+	takeView(view: ClusterView): void {
+		this._noteView(view);
+		this._connect();
+	}
+
+	private _noteView(view: ClusterView): void {
+		const nowMs = this._options.clock.nowMs();
+		let hasChanged = false;
+		for (const keeper of view.keepers) {
+			hasChanged ||= !this._keepersSeenMs.has(keeper);
+			this._keepersSeenMs.set(keeper, nowMs);
+		}
+		for (const entry of view.entries) {
+			if (entry.address === this._options.ownAddress) {
+				continue;
+			}
+			hasChanged ||= !this._entries.has(entry.address);
+			this._entries.set(entry.address, { ...entry, seenMs: nowMs });
+		}
+		if (hasChanged) {
+			this._onDidChangeView.fire(undefined);
+		}
+	}
+
+	private _connect(): void {
+		if (this._isDisposed) {
+			return;
+		}
+		const wanted = new Set(this.keepers);
+		if (this._options.followsRouting) {
+			for (const { address } of this._entries.values()) {
+				wanted.add(address);
+			}
+		}
+		for (const address of wanted) {
+			if (address !== this._options.ownAddress && !this._servers.has(address)) {
+				this._servers.set(address, this._open(address));
+			}
+		}
+		for (const [address, server] of this._servers) {
+			if (!wanted.has(address)) {
+				server.connector.dispose();
+				this._servers.delete(address);
+			}
+		}
+	}
+
+	private _open(address: string): Server {
+		const { connection: options, log, ownAddress } = this._options;
+		const connector = new FrameConnector(address, options);
+		const server: Server = { address, connector, view: undefined, version: 0, fetchSentMs: -Infinity };
+		connector.onDidConnect((connection) => {
+			log.info('cluster.serverConnected', { address, role: connection.peer.role });
+			connection.onDidReceive((message) => {
+				this._receive(server, connection, message);
+			});
+			connection.onDidClose((reason) => {
+				server.version = 0;
+				server.view = undefined;
+				log.warn('cluster.serverLost', { address, reason });
+			});
+			connection.send({ kind: 'subscribeView', address: ownAddress } as Message);
+		});
+		return server;
+	}
+
+	private _receive(server: Server, connection: IConnection, received: Message): void {
+		const message = received as ToSubscriberMessage;
+		switch (message.kind) {
+			case 'clusterView':
+				server.view = { keepers: message.keepers, entries: message.entries };
+				this._noteView(server.view);
+				this._connect();
+				return;
+			case 'routingVersion':
+				server.version = message.version;
+				this._fetchWhenBehind(server, connection);
+				return;
+			case 'routing':
+				server.fetchSentMs = -Infinity;
+				this._takeRouting(message.version, message.document);
+		}
+	}
+
+	private _fetchWhenBehind(server: Server, connection: IConnection): void {
+		const isBehind = server.version > (this._routing?.version ?? 0);
+		if (!this._options.followsRouting || !isBehind) {
+			return;
+		}
+		const nowMs = this._options.clock.nowMs();
+		const isAsked = [...this._servers.values()].some(
+			(other) => nowMs - other.fetchSentMs < fetchTimeoutMs && other.version >= server.version,
+		);
+		if (!isAsked) {
+			server.fetchSentMs = nowMs;
+			connection.send({ kind: 'fetchRouting' });
+		}
+	}
+
+	private _takeRouting(version: number, document: Uint8Array): void {
+		const previousVersion = this._routing?.version ?? 0;
+		if (version <= previousVersion) {
+			return;
+		}
+		try {
+			this._decoded = decodeDocument(document);
+		} catch (error) {
+			this._options.log.error('routing.unreadable', { version, message: describeError(error) });
+			return;
+		}
+		this._routing = { version, document: new Uint8Array(document) };
+		this._options.log.info('routing.inForce', {
+			version,
+			previousVersion,
+			routes: this._decoded.routes.length,
+		});
+		this._onDidChangeRouting.fire(undefined);
+	}
+
+	/** Fetches again what was not answered, and forgets processes that no server names any more. */
+	private _sweep(): void {
+		const nowMs = this._options.clock.nowMs();
+		for (const server of this._servers.values()) {
+			const { connection } = server.connector;
+			if (connection !== undefined) {
+				this._fetchWhenBehind(server, connection);
+			}
+			this._refresh(server.view, nowMs);
+		}
+		let hasChanged = false;
+		for (const [address, entry] of this._entries) {
+			if (nowMs - entry.seenMs > forgetAfterMs) {
+				this._entries.delete(address);
+				hasChanged = true;
+			}
+		}
+		for (const [address, seenMs] of this._keepersSeenMs) {
+			if (nowMs - seenMs > forgetAfterMs) {
+				this._keepersSeenMs.delete(address);
+				hasChanged = true;
+			}
+		}
+		if (hasChanged) {
+			this._connect();
+			this._onDidChangeView.fire(undefined);
+		}
+	}
+
+	private _refresh(view: ClusterView | undefined, nowMs: number): void {
+		for (const keeper of view?.keepers ?? []) {
+			this._keepersSeenMs.set(keeper, nowMs);
+		}
+		for (const { address } of view?.entries ?? []) {
+			const known = this._entries.get(address);
+			if (known !== undefined) {
+				known.seenMs = nowMs;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/cluster/node/entryFinder.ts
@@ -0,0 +1,71 @@
+/** Keeps one connection from an agent to each entry that the cluster tells of. */
+
+import { Disposable, toDisposable } from '../../base/common/disposable.js';
+import { Emitter } from '../../base/common/event.js';
+import type { ILogService } from '../../services/log/common/log.js';
+import type { IConnection } from '../../services/transport/common/transport.js';
+import type { ConnectionOptions } from '../../services/transport/node/frameConnection.js';
+import { FrameConnector } from '../../services/transport/node/frameConnector.js';
+import type { ViewMessage } from '../common/clusterMessages.js';
+import type { ClusterClient } from './clusterClient.js';
+
+/** Connects to entries as they become known. */
+export class EntryFinder extends Disposable {
+	private readonly _onDidConnect = this._register(new Emitter<IConnection>());
+	readonly onDidConnect = this._onDidConnect.event;
+
+	private readonly _connectors = new Map<string, FrameConnector>();
+
+	constructor(
+		private readonly _cluster: ClusterClient,
+		private readonly _options: ConnectionOptions,
+		private readonly _log: ILogService,
+	) {
+		super();
+		this._register(
+			_cluster.onDidChangeView(() => {
+				this._update();
+			}),
+		);
+		this._register(
+			toDisposable(() => {
+				for (const connector of this._connectors.values()) {
+					connector.dispose();
+				}
+			}),
+		);
+		this._update();
+	}
+
+	private _update(): void {
+		const wanted = new Set(this._cluster.entries.map(({ address }) => address));
+		for (const [address, connector] of this._connectors) {
+			if (!wanted.has(address)) {
+				connector.dispose();
+				this._connectors.delete(address);
+			}
+		}
+		for (const address of wanted) {
+			if (!this._connectors.has(address)) {
+				this._connectors.set(address, this._connect(address));
+			}
+		}
+	}
+
+	private _connect(address: string): FrameConnector {
+		const connector = new FrameConnector(address, this._options);
+		connector.onDidConnect((connection) => {
+			this._log.info('entry.connected', { address, entryId: connection.peer.processId });
+			connection.onDidReceive((message) => {
+				if (message.kind === 'clusterView') {
+					this._cluster.takeView(message as ViewMessage);
+				}
+			});
+			connection.onDidClose((reason) => {
+				this._log.warn('entry.lost', { address, reason });
+			});
+			this._onDidConnect.fire(connection);
+		});
+		return connector;
+	}
+}
--- a/src/code/node/commands/agentCommand.ts
+++ b/src/code/node/commands/agentCommand.ts
@@ -7,12 +7,12 @@
 import { HttpWorkerPlatform } from '../../../agent/node/httpWorkerPlatform.js';
 import { monotonicClock } from '../../../base/common/clock.js';
 import { ControlPlaneClient } from '../../../control/node/controlPlaneClient.js';
-import { reportSettingsError, runDaemon, type IDaemon } from '../../../platform/daemon/node/daemon.js';
-import { ConsolaLogService } from '../../../platform/log/node/consolaLogService.js';
-import { createMetricsService } from '../../../platform/metrics/node/statsdMetricsService.js';
-import type { ILogService } from '../../../platform/log/common/log.js';
-import { loadSettings } from '../../../platform/settings/node/loadSettings.js';
-import type { PeerIdentity } from '../../../platform/transport/common/transport.js';
+import { reportSettingsError, runDaemon, type IDaemon } from '../../../services/daemon/node/daemon.js';
+import { ConsolaLogService } from '../../../services/log/node/consolaLogService.js';
+import { createMetricsService } from '../../../services/metrics/node/statsdMetricsService.js';
+import type { ILogService } from '../../../services/log/common/log.js';
+import { loadSettings } from '../../../services/settings/node/loadSettings.js';
+import type { PeerIdentity } from '../../../services/transport/common/transport.js';
 
 /** The command's definition. */
 export const agentCommand = defineCommand({
--- a/src/code/node/commands/benchCommand.ts
+++ b/src/code/node/commands/benchCommand.ts
@@ -4,9 +4,9 @@
 import { z } from 'zod';
 import { defaultKeyedShare, scenarioNames } from '../../../bench/common/workload.js';
 import { benchParts, runFullBench } from '../../../bench/node/fullBench.js';
-import { checkSettings } from '../../../platform/settings/node/loadSettings.js';
+import { checkSettings } from '../../../services/settings/node/loadSettings.js';
 import { policyNames } from '../../../entry/common/entrySettings.js';
-import { reportSettingsError } from '../../../platform/daemon/node/daemon.js';
+import { reportSettingsError } from '../../../services/daemon/node/daemon.js';
 
 const optionsSchema = z.object({
 	policy: z.enum(policyNames),
--- a/src/code/node/commands/benchCompareCommand.ts
+++ b/src/code/node/commands/benchCompareCommand.ts
@@ -7,8 +7,8 @@
 import { compareScenarios } from '../../../bench/node/scenarioComparison.js';
 import type { BenchReport } from '../../../bench/common/benchReport.js';
 import { policyNames } from '../../../entry/common/entrySettings.js';
-import { reportSettingsError } from '../../../platform/daemon/node/daemon.js';
-import { checkSettings } from '../../../platform/settings/node/loadSettings.js';
+import { reportSettingsError } from '../../../services/daemon/node/daemon.js';
+import { checkSettings } from '../../../services/settings/node/loadSettings.js';
 
 const optionsSchema = z.object({
 	what: z.enum(['policies', 'scenarios']),
--- a/src/code/node/commands/checkCommand.ts
+++ b/src/code/node/commands/checkCommand.ts
@@ -6,9 +6,9 @@
 import { findShortDrains, type DrainSettings } from '../../../declarations/common/drainRule.js';
 import { entrySettingsSchema } from '../../../entry/common/entrySettings.js';
 import { keeperSettingsSchema } from '../../../keeper/common/keeperSettings.js';
-import { reportSettingsError } from '../../../platform/daemon/node/daemon.js';
-import { SettingsError } from '../../../platform/settings/common/settingsError.js';
-import { checkSettings, readToml } from '../../../platform/settings/node/loadSettings.js';
+import { reportSettingsError } from '../../../services/daemon/node/daemon.js';
+import { SettingsError } from '../../../services/settings/common/settingsError.js';
+import { checkSettings, readToml } from '../../../services/settings/node/loadSettings.js';
 
 /** What a file can be. */
 type FileKind = 'entry' | 'agent' | 'keeper' | 'declaration';
--- a/src/code/node/commands/demoCommand.ts
+++ b/src/code/node/commands/demoCommand.ts
@@ -1,7 +1,7 @@
 /** `yuccaarch demo`: Runs the whole system on loopback and shows what readers get. */
 
 import { defineCommand } from 'citty';
-import { exitCodes } from '../../../platform/daemon/node/daemon.js';
+import { exitCodes } from '../../../services/daemon/node/daemon.js';
 import { runDemo } from '../../../proof/node/demo.js';
 
 /** The command's definition. */
--- a/src/code/node/commands/entryCommand.ts
+++ b/src/code/node/commands/entryCommand.ts
@@ -4,11 +4,11 @@
 import { ControlPlaneClient } from '../../../control/node/controlPlaneClient.js';
 import { entrySettingsSchema, type EntrySettings } from '../../../entry/common/entrySettings.js';
 import { EntryDaemon } from '../../../entry/node/entryDaemon.js';
-import { reportSettingsError, runDaemon, type IDaemon } from '../../../platform/daemon/node/daemon.js';
-import type { ILogService } from '../../../platform/log/common/log.js';
-import { ConsolaLogService } from '../../../platform/log/node/consolaLogService.js';
-import { createMetricsService } from '../../../platform/metrics/node/statsdMetricsService.js';
-import { loadSettings } from '../../../platform/settings/node/loadSettings.js';
+import { reportSettingsError, runDaemon, type IDaemon } from '../../../services/daemon/node/daemon.js';
+import type { ILogService } from '../../../services/log/common/log.js';
+import { ConsolaLogService } from '../../../services/log/node/consolaLogService.js';
+import { createMetricsService } from '../../../services/metrics/node/statsdMetricsService.js';
+import { loadSettings } from '../../../services/settings/node/loadSettings.js';
 
 /** The command's definition. */
 export const entryCommand = defineCommand({
--- a/src/code/node/commands/keeperCommand.ts
+++ b/src/code/node/commands/keeperCommand.ts
@@ -7,13 +7,13 @@
 import { keeperSettingsSchema, type KeeperSettings } from '../../../keeper/common/keeperSettings.js';
 import { KeeperMetrics } from '../../../keeper/common/keeperMetrics.js';
 import { KeeperDaemon, type OpenKeeperLog } from '../../../keeper/node/keeperDaemon.js';
-import { exitCodes, reportSettingsError, runDaemon } from '../../../platform/daemon/node/daemon.js';
-import type { ILogService } from '../../../platform/log/common/log.js';
-import { ConsolaLogService } from '../../../platform/log/node/consolaLogService.js';
-import { createMetricsService } from '../../../platform/metrics/node/statsdMetricsService.js';
-import { loadSettings } from '../../../platform/settings/node/loadSettings.js';
-import { syncFileData } from '../../../platform/storage/node/diskAccess.js';
-import { defaultConnectionLimits, type PeerIdentity } from '../../../platform/transport/common/transport.js';
+import { exitCodes, reportSettingsError, runDaemon } from '../../../services/daemon/node/daemon.js';
+import type { ILogService } from '../../../services/log/common/log.js';
+import { ConsolaLogService } from '../../../services/log/node/consolaLogService.js';
+import { createMetricsService } from '../../../services/metrics/node/statsdMetricsService.js';
+import { loadSettings } from '../../../services/settings/node/loadSettings.js';
+import { syncFileData } from '../../../services/storage/node/diskAccess.js';
+import { defaultConnectionLimits, type PeerIdentity } from '../../../services/transport/common/transport.js';
 import { ReplicatedLog } from '../../../replication/node/replicatedLog.js';
 
 /** Time that a drain may take: the hand-over of the lead and of the subscribers. */
--- a/src/code/node/commands/soakCommand.ts
+++ b/src/code/node/commands/soakCommand.ts
@@ -1,7 +1,7 @@
 /** `yuccaarch soak`: Runs the whole system under seeded faults and audits it. */
 
 import { defineCommand } from 'citty';
-import { exitCodes } from '../../../platform/daemon/node/daemon.js';
+import { exitCodes } from '../../../services/daemon/node/daemon.js';
 import { runSoak } from '../../../proof/node/soak.js';
 
 /** The command's definition. */
--- a/src/code/node/commands/upstreamCommand.ts
+++ b/src/code/node/commands/upstreamCommand.ts
@@ -2,8 +2,8 @@
 
 import { defineCommand } from 'citty';
 import { randomUUID } from 'node:crypto';
-import { runDaemon } from '../../../platform/daemon/node/daemon.js';
-import { ConsolaLogService } from '../../../platform/log/node/consolaLogService.js';
+import { runDaemon } from '../../../services/daemon/node/daemon.js';
+import { ConsolaLogService } from '../../../services/log/node/consolaLogService.js';
 import { nullJournal } from '../../../standins/common/journal.js';
 import { defaultUpstreamOptions, type UpstreamOptions } from '../../../standins/common/upstreamOptions.js';
 import { FileJournal } from '../../../standins/node/fileJournal.js';
--- a/src/code/node/operator/operatorArguments.ts
+++ b/src/code/node/operator/operatorArguments.ts
@@ -1,9 +1,9 @@
 /** Arguments that the operators' commands share, and how their results are printed. */
 
 import { hostname, userInfo } from 'node:os';
-import { reportSettingsError } from '../../../platform/daemon/node/daemon.js';
-import { addressSchema } from '../../../platform/settings/common/settingsSchema.js';
-import { SettingsError } from '../../../platform/settings/common/settingsError.js';
+import { reportSettingsError } from '../../../services/daemon/node/daemon.js';
+import { addressSchema } from '../../../services/settings/common/settingsSchema.js';
+import { SettingsError } from '../../../services/settings/common/settingsError.js';
 import type { CommandResult } from '../../../operator/common/commandResult.js';
 import { OperatorClient } from '../../../operator/node/operatorClient.js';
 
--- a/src/code/node/test/operatorOperations.test.ts
+++ b/src/code/node/test/operatorOperations.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import { request } from 'undici';
 import { toDisposable } from '../../../base/common/disposable.js';
-import { parseAddress } from '../../../platform/transport/node/address.js';
+import { parseAddress } from '../../../services/transport/node/address.js';
 import type { DeclaredTables } from '../../../declarations/common/tableEdits.js';
 import { loadDeclaredTables } from '../../../declarations/node/loadDeclaration.js';
 import {
--- a/src/code/node/test/settingsPage.test.ts
+++ b/src/code/node/test/settingsPage.test.ts
@@ -6,7 +6,7 @@
 import { agentSettingsSchema } from '../../../agent/common/agentSettings.js';
 import { entrySettingsSchema } from '../../../entry/common/entrySettings.js';
 import { keeperSettingsSchema } from '../../../keeper/common/keeperSettings.js';
-import { loadSettings } from '../../../platform/settings/node/loadSettings.js';
+import { loadSettings } from '../../../services/settings/node/loadSettings.js';
 
 const schemas = {
 	entry: entrySettingsSchema,
@@ -17,8 +17,8 @@
 type Role = keyof typeof schemas;
 
 const roles: readonly Role[] = ['entry', 'agent', 'keeper'];
-const examples = new URL('../../../../examples/', import.meta.url);
-const page = readFileSync(new URL('../../../../docs/SETTINGS.md', import.meta.url), 'utf8');
+const examples = new URL('../../../../../examples/', import.meta.url);
+const page = readFileSync(new URL('../../../../../docs/SETTINGS.md', import.meta.url), 'utf8');
 
 /** What the page must say of one key. */
 interface SettingRow {
--- a/src/control/common/keeperEndpoint.ts
+++ b/src/control/common/keeperEndpoint.ts
@@ -1,7 +1,7 @@
 /** Settings by which a process finds the keepers. */
 
 import { z } from 'zod';
-import { addressSchema, nameSchema } from '../../platform/settings/common/settingsSchema.js';
+import { addressSchema, nameSchema } from '../../services/settings/common/settingsSchema.js';
 
 /** One keeper that a process may subscribe to. */
 export const keeperEndpointSchema = z.strictObject({
--- a/src/control/common/memberRegistry.ts
+++ b/src/control/common/memberRegistry.ts
@@ -6,7 +6,7 @@
 	MemberStatus,
 } from '../../protocol/common/keeperMessages.js';
 import type { DrainSettings } from '../../declarations/common/drainRule.js';
-import type { ProcessRole } from '../../platform/transport/common/transport.js';
+import type { ProcessRole } from '../../services/transport/common/transport.js';
 
 /** One process, as one keeper knows it. Times are by this process's monotonic clock. */
 export interface MemberRecord {
--- a/src/control/node/controlLink.ts
+++ b/src/control/node/controlLink.ts
@@ -2,9 +2,9 @@
 
 import { Disposable } from '../../base/common/disposable.js';
 import { Emitter } from '../../base/common/event.js';
-import type { Message } from '../../platform/transport/common/transport.js';
-import type { ConnectionOptions } from '../../platform/transport/node/frameConnection.js';
-import { FrameConnector } from '../../platform/transport/node/frameConnector.js';
+import type { Message } from '../../services/transport/common/transport.js';
+import type { ConnectionOptions } from '../../services/transport/node/frameConnection.js';
+import { FrameConnector } from '../../services/transport/node/frameConnector.js';
 import type { KeeperToMemberMessage, MemberToKeeperMessage } from '../../protocol/common/keeperMessages.js';
 import { keeperToMemberSchema } from '../../protocol/common/keeperMessageSchemas.js';
 import { describeFaults } from '../common/messageFaults.js';
--- a/src/control/node/controlPlaneClient.ts
+++ b/src/control/node/controlPlaneClient.ts
@@ -5,12 +5,12 @@
 import { monotonicClock, type IClock } from '../../base/common/clock.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { Emitter } from '../../base/common/event.js';
-import type { ILogService } from '../../platform/log/common/log.js';
+import type { ILogService } from '../../services/log/common/log.js';
 import {
 	defaultConnectionLimits,
 	type ConnectionLimits,
 	type PeerIdentity,
-} from '../../platform/transport/common/transport.js';
+} from '../../services/transport/common/transport.js';
 import type {
 	ClaimOutcome,
 	ClaimRequest,
--- a/src/control/node/controlRelay.ts
+++ b/src/control/node/controlRelay.ts
@@ -2,8 +2,8 @@
 
 import type { IClock } from '../../base/common/clock.js';
 import { Disposable } from '../../base/common/disposable.js';
-import type { ILogService } from '../../platform/log/common/log.js';
-import type { IConnection } from '../../platform/transport/common/transport.js';
+import type { ILogService } from '../../services/log/common/log.js';
+import type { IConnection } from '../../services/transport/common/transport.js';
 import type { IControlPlane } from '../common/controlPlane.js';
 import { MemberRegistry } from '../common/memberRegistry.js';
 import { SubscriptionService } from './subscriptionService.js';
--- a/src/control/node/subscriptionService.ts
+++ b/src/control/node/subscriptionService.ts
@@ -4,8 +4,8 @@
 import type { IClock } from '../../base/common/clock.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { Emitter } from '../../base/common/event.js';
-import type { ILogService } from '../../platform/log/common/log.js';
-import type { IConnection, Message } from '../../platform/transport/common/transport.js';
+import type { ILogService } from '../../services/log/common/log.js';
+import type { IConnection, Message } from '../../services/transport/common/transport.js';
 import type {
 	ClaimMessage,
 	KeeperLeavingMessage,
--- a/src/declarations/common/declaration.ts
+++ b/src/declarations/common/declaration.ts
@@ -1,8 +1,8 @@
 /** A declaration: the routes, pools and teams that operators keep in version control. */
 
 import { z } from 'zod';
-import { nameSchema } from '../../platform/settings/common/settingsSchema.js';
-import { SettingsError, type SettingsIssue } from '../../platform/settings/common/settingsError.js';
+import { nameSchema } from '../../services/settings/common/settingsSchema.js';
+import { SettingsError, type SettingsIssue } from '../../services/settings/common/settingsError.js';
 import { findTableFaults, type DeclaredTables } from './tableEdits.js';
 import { poolSchema, routeSchema, teamSchema } from './tableSchemas.js';
 import { emptyTables } from './tables.js';
--- a/src/declarations/common/tableSchemas.ts
+++ b/src/declarations/common/tableSchemas.ts
@@ -1,7 +1,7 @@
 /** Schemas of the tables' rows: with defaults for declarations, and strict for the operators' interface. */
 
 import { z } from 'zod';
-import { durationMsSchema, nameSchema } from '../../platform/settings/common/settingsSchema.js';
+import { durationMsSchema, nameSchema } from '../../services/settings/common/settingsSchema.js';
 import { tableNames } from './tableEdits.js';
 import type { TableDelta, TableEdit, Tables } from './tables.js';
 
--- a/src/declarations/node/loadDeclaration.ts
+++ b/src/declarations/node/loadDeclaration.ts
@@ -1,6 +1,6 @@
 /** Reads declaration files. */
 
-import { loadSettings } from '../../platform/settings/node/loadSettings.js';
+import { loadSettings } from '../../services/settings/node/loadSettings.js';
 import { declarationSchema, joinDeclarations, type DeclarationFile } from '../common/declaration.js';
 import type { DeclaredTables } from '../common/tableEdits.js';
 
--- a/src/declarations/node/test/loadDeclaration.test.ts
+++ b/src/declarations/node/test/loadDeclaration.test.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import test from 'ava';
-import { SettingsError } from '../../../platform/settings/common/settingsError.js';
+import { SettingsError } from '../../../services/settings/common/settingsError.js';
 import { applyEdits, diffTables } from '../../common/tableEdits.js';
 import { emptyTables } from '../../common/tables.js';
 import { loadDeclaredTables } from '../loadDeclaration.js';
--- a/src/entry/common/entrySettings.ts
+++ b/src/entry/common/entrySettings.ts
@@ -6,7 +6,7 @@
 	addressSchema,
 	durationMsSchema,
 	processSettingsShape,
-} from '../../platform/settings/common/settingsSchema.js';
+} from '../../services/settings/common/settingsSchema.js';
 
 /** Names of the placement policies; the daemon's default is `home`, the others are baselines of the bench. */
 export const policyNames = ['home', 'random', 'twoChoices', 'batchSampling'] as const;
--- a/src/entry/common/entryTables.ts
+++ b/src/entry/common/entryTables.ts
@@ -5,7 +5,7 @@
 import type { ControlState } from '../../control/common/controlPlane.js';
 import { emptyTables, type RouteRow, type TeamRow } from '../../declarations/common/tables.js';
 import type { EntryMember } from '../../protocol/common/keeperMessages.js';
-import type { PeerIdentity } from '../../platform/transport/common/transport.js';
+import type { PeerIdentity } from '../../services/transport/common/transport.js';
 import { DeadlineQueue } from './deadlineQueue.js';
 import { EntryStats } from './entryStats.js';
 import type { JobRow } from './jobRow.js';
--- a/src/entry/common/jobRequest.ts
+++ b/src/entry/common/jobRequest.ts
@@ -4,7 +4,7 @@
 import { z } from 'zod';
 import { describeError } from '../../base/common/errors.js';
 import type { RouteRow, Tables } from '../../declarations/common/tables.js';
-import { nameSchema } from '../../platform/settings/common/settingsSchema.js';
+import { nameSchema } from '../../services/settings/common/settingsSchema.js';
 import { noNeeds, type TaskNeeds } from '../../protocol/common/jobs.js';
 import { sliceArrayMember } from './jsonSlices.js';
 
--- a/src/entry/common/systems/quotaGranterSystem.ts
+++ b/src/entry/common/systems/quotaGranterSystem.ts
@@ -4,7 +4,7 @@
  * ever adding up to more than the quota.
  */
 
-import type { PeerIdentity } from '../../../platform/transport/common/transport.js';
+import type { PeerIdentity } from '../../../services/transport/common/transport.js';
 import type { QuotaDemandMessage, QuotaHandOverMessage } from '../../../protocol/common/entryMessages.js';
 import type { EntryRunKey, EntryTables } from '../entryTables.js';
 import {
--- a/src/entry/common/tickTypes.ts
+++ b/src/entry/common/tickTypes.ts
@@ -1,8 +1,8 @@
 /** What goes into a tick of the entry's core and what comes out. A tick depends on nothing else but the tables. */
 
 import type { ControlState } from '../../control/common/controlPlane.js';
-import type { LogFields, LogLevel } from '../../platform/log/common/log.js';
-import type { PeerIdentity } from '../../platform/transport/common/transport.js';
+import type { LogFields, LogLevel } from '../../services/log/common/log.js';
+import type { PeerIdentity } from '../../services/transport/common/transport.js';
 import type { AgentToEntryMessage, EntryToAgentMessage } from '../../protocol/common/agentMessages.js';
 import type { EntryToEntryMessage } from '../../protocol/common/entryMessages.js';
 import type { JobAnswer, JobSubmission } from '../../protocol/common/jobs.js';
--- a/src/entry/node/entryDaemon.ts
+++ b/src/entry/node/entryDaemon.ts
@@ -11,19 +11,19 @@
 import { describeError } from '../../base/common/errors.js';
 import type { ControlState, IControlPlane } from '../../control/common/controlPlane.js';
 import { ControlRelay } from '../../control/node/controlRelay.js';
-import type { IDaemon } from '../../platform/daemon/node/daemon.js';
-import type { ILogService } from '../../platform/log/common/log.js';
-import { nullMetricsService, type IMetricsService } from '../../platform/metrics/common/metrics.js';
-import { SettingsError } from '../../platform/settings/common/settingsError.js';
+import type { IDaemon } from '../../services/daemon/node/daemon.js';
+import type { ILogService } from '../../services/log/common/log.js';
+import { nullMetricsService, type IMetricsService } from '../../services/metrics/common/metrics.js';
+import { SettingsError } from '../../services/settings/common/settingsError.js';
 import {
 	defaultConnectionLimits,
 	type ConnectionLimits,
 	type PeerIdentity,
-} from '../../platform/transport/common/transport.js';
-import { drainServer, ownServer } from '../../platform/http/node/httpServer.js';
-import { formatAddress } from '../../platform/transport/node/address.js';
-import { listenOn } from '../../platform/transport/node/listen.js';
-import type { ConnectionOptions } from '../../platform/transport/node/frameConnection.js';
+} from '../../services/transport/common/transport.js';
+import { drainServer, ownServer } from '../../services/http/node/httpServer.js';
+import { formatAddress } from '../../services/transport/node/address.js';
+import { listenOn } from '../../services/transport/node/listen.js';
+import type { ConnectionOptions } from '../../services/transport/node/frameConnection.js';
 import type { ClaimRequest, MemberStatus } from '../../protocol/common/keeperMessages.js';
 import { EntryCore } from '../common/entryCore.js';
 import type { EntryStats } from '../common/entryStats.js';
--- a/src/entry/node/entryOperatorApi.ts
+++ b/src/entry/node/entryOperatorApi.ts
@@ -2,7 +2,7 @@
 
 import { Hono } from 'hono';
 import type { OutcomeLedger } from '../../burn/common/outcomeCounts.js';
-import { createTokenCheck } from '../../platform/http/node/operatorToken.js';
+import { createTokenCheck } from '../../services/http/node/operatorToken.js';
 
 /** What the interface sees of the entry. */
 export interface IEntryOperatorHost {
--- a/src/entry/node/outcomeBook.ts
+++ b/src/entry/node/outcomeBook.ts
@@ -5,7 +5,7 @@
 import { classifyOutcome, OutcomeRecorder, type RunIdentity } from '../../burn/common/outcomeRecorder.js';
 import type { ControlState } from '../../control/common/controlPlane.js';
 import type { RouteObjectives } from '../../declarations/common/tables.js';
-import type { IMetricsService } from '../../platform/metrics/common/metrics.js';
+import type { IMetricsService } from '../../services/metrics/common/metrics.js';
 import type { JobAnswer } from '../../protocol/common/jobs.js';
 
 /** Time between two beats of the outcome recorder. */
--- a/src/entry/node/peerHub.ts
+++ b/src/entry/node/peerHub.ts
@@ -1,11 +1,11 @@
 /** Connections to agents, which dial this entry, and to the other entries. */
 
 import { Disposable, DisposableStore } from '../../base/common/disposable.js';
-import type { ILogService } from '../../platform/log/common/log.js';
-import type { IConnection, Message, PeerIdentity } from '../../platform/transport/common/transport.js';
-import type { ConnectionOptions } from '../../platform/transport/node/frameConnection.js';
-import { FrameConnector } from '../../platform/transport/node/frameConnector.js';
-import { FrameListener } from '../../platform/transport/node/frameListener.js';
+import type { ILogService } from '../../services/log/common/log.js';
+import type { IConnection, Message, PeerIdentity } from '../../services/transport/common/transport.js';
+import type { ConnectionOptions } from '../../services/transport/node/frameConnection.js';
+import { FrameConnector } from '../../services/transport/node/frameConnector.js';
+import { FrameListener } from '../../services/transport/node/frameListener.js';
 import type { AgentToEntryMessage } from '../../protocol/common/agentMessages.js';
 import type { EntryToEntryMessage } from '../../protocol/common/entryMessages.js';
 import type { EntryMember } from '../../protocol/common/keeperMessages.js';
--- a/src/entry/test/entryDaemon.test.ts
+++ b/src/entry/test/entryDaemon.test.ts
@@ -2,7 +2,7 @@
 import { request } from 'undici';
 import { waitFor } from '../../base/common/async.js';
 import { DisposableStore } from '../../base/common/disposable.js';
-import { nullLogService } from '../../platform/log/common/log.js';
+import { nullLogService } from '../../services/log/common/log.js';
 import type { EntryMember } from '../../protocol/common/keeperMessages.js';
 import { entrySettingsSchema } from '../common/entrySettings.js';
 import { EntryDaemon } from '../node/entryDaemon.js';
--- a/src/entry/test/fakeAgent.ts
+++ b/src/entry/test/fakeAgent.ts
@@ -1,8 +1,8 @@
 /** An agent on the wire that answers each start at once. */
 
 import { Disposable } from '../../base/common/disposable.js';
-import { defaultConnectionLimits } from '../../platform/transport/common/transport.js';
-import { FrameConnector } from '../../platform/transport/node/frameConnector.js';
+import { defaultConnectionLimits } from '../../services/transport/common/transport.js';
+import { FrameConnector } from '../../services/transport/node/frameConnector.js';
 import type {
 	AgentToEntryMessage,
 	EntryToAgentMessage,
--- a/src/entry/test/golden.test.ts
+++ b/src/entry/test/golden.test.ts
@@ -13,7 +13,7 @@
 	outputs?: EntryOutputs;
 }
 
-const folder = new URL('../../../src/entry/test/golden/', import.meta.url);
+const folder = new URL('../../../../src/entry/test/golden/', import.meta.url);
 const mustWrite = process.env.YUCCAARCH_GOLDEN === 'write';
 
 function replay(ticks: readonly GoldenTick[]): EntryOutputs[] {
--- a/src/entry/test/placementBenchmark.ts
+++ b/src/entry/test/placementBenchmark.ts
@@ -4,7 +4,7 @@
  *
  * Each tick takes one job, and the answers that have come since the last one, as an entry does that isn't behind.
  *
- * Usage: `node out/entry/test/placementBenchmark.js [workers] [slots] [tasks] [load] [tasksPerJob]`
+ * Usage: `node out/src/entry/test/placementBenchmark.js [workers] [slots] [tasks] [load] [tasksPerJob]`
  */
 
 import type { Tables } from '../../declarations/common/tables.js';
--- a/src/entry/test/quotaMessageBenchmark.ts
+++ b/src/entry/test/quotaMessageBenchmark.ts
@@ -1,10 +1,10 @@
 /**
  * Measures the messages about team quotas by the number of teams: three entries, of which two are homes and one grants.
  *
- * Run: `node out/entry/test/quotaMessageBenchmark.js`
+ * Run: `node out/src/entry/test/quotaMessageBenchmark.js`
  */
 
-import { FrameEncoder } from '../../platform/transport/common/frameCodec.js';
+import { FrameEncoder } from '../../services/transport/common/frameCodec.js';
 import { rendezvousOrder } from '../../base/common/rendezvous.js';
 import type { Tables } from '../../declarations/common/tables.js';
 import { testTables } from './fakeControlPlane.js';
--- a/src/entry/test/startRateBenchmark.ts
+++ b/src/entry/test/startRateBenchmark.ts
@@ -2,7 +2,7 @@
  * Measures how many task starts an entry carries a second: a real entry with HTTP and the wire protocol in this
  * process, fake agents that answer at once in a second, and readers in a third.
  *
- * Usage: `node out/entry/test/startRateBenchmark.js [agents] [slots] [seconds] [tasksPerJob] [openJobs]`
+ * Usage: `node out/src/entry/test/startRateBenchmark.js [agents] [slots] [seconds] [tasksPerJob] [openJobs]`
  */
 
 import { fork, type ChildProcess } from 'node:child_process';
@@ -10,7 +10,7 @@
 import { fileURLToPath } from 'node:url';
 import { Pool } from 'undici';
 import { delay, waitFor } from '../../base/common/async.js';
-import { nullLogService } from '../../platform/log/common/log.js';
+import { nullLogService } from '../../services/log/common/log.js';
 import { entrySettingsSchema } from '../common/entrySettings.js';
 import { EntryDaemon } from '../node/entryDaemon.js';
 import { FakeAgent } from './fakeAgent.js';
--- a/src/keeper/common/changeRequestSchema.ts
+++ b/src/keeper/common/changeRequestSchema.ts
@@ -2,7 +2,7 @@
 
 import { z } from 'zod';
 import { tableEditSchema } from '../../declarations/common/tableSchemas.js';
-import { addressSchema, nameSchema } from '../../platform/settings/common/settingsSchema.js';
+import { addressSchema, nameSchema } from '../../services/settings/common/settingsSchema.js';
 import type { ChangeRequest, MemberRequest } from '../../protocol/common/operatorApi.js';
 
 /** Edits in one change; a declaration of the two-year size has fewer rows. */
--- a/src/keeper/common/keeperMetrics.ts
+++ b/src/keeper/common/keeperMetrics.ts
@@ -1,6 +1,6 @@
 /** Metrics of a keeper: what it counts as it works, and the levels that it is asked for. */
 
-import type { IMetricsService } from '../../platform/metrics/common/metrics.js';
+import type { IMetricsService } from '../../services/metrics/common/metrics.js';
 import type { ReplicaStatus } from '../../replication/common/replicatedLog.js';
 import type { ClaimOutcome } from '../../protocol/common/keeperMessages.js';
 
--- a/src/keeper/common/keeperSettings.ts
+++ b/src/keeper/common/keeperSettings.ts
@@ -6,7 +6,7 @@
 	addressSchema,
 	durationMsSchema,
 	processSettingsShape,
-} from '../../platform/settings/common/settingsSchema.js';
+} from '../../services/settings/common/settingsSchema.js';
 
 /** Schema of a keeper's settings file. */
 export const keeperSettingsSchema = z
--- a/src/keeper/common/test/keeperMetrics.test.ts
+++ b/src/keeper/common/test/keeperMetrics.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import type { IMetricsService, MetricTags } from '../../../platform/metrics/common/metrics.js';
+import type { IMetricsService, MetricTags } from '../../../services/metrics/common/metrics.js';
 import { KeeperMetrics, type KeeperLevels } from '../keeperMetrics.js';
 
 /** Keeps what is sent, as `kind name value tags`. */
--- a/src/keeper/node/claimBatcher.ts
+++ b/src/keeper/node/claimBatcher.ts
@@ -2,8 +2,8 @@
 
 import { Disposable } from '../../base/common/disposable.js';
 import { describeError } from '../../base/common/errors.js';
-import type { ILogService } from '../../platform/log/common/log.js';
-import type { IConnection } from '../../platform/transport/common/transport.js';
+import type { ILogService } from '../../services/log/common/log.js';
+import type { IConnection } from '../../services/transport/common/transport.js';
 import type {
 	ClaimAnswer,
 	ClaimAnswersMessage,
--- a/src/keeper/node/keeperDaemon.ts
+++ b/src/keeper/node/keeperDaemon.ts
@@ -6,16 +6,16 @@
 import { MemberRegistry } from '../../control/common/memberRegistry.js';
 import type { IStateSource } from '../../control/common/stateSource.js';
 import { SubscriptionService, type KeeperOnlyMessage } from '../../control/node/subscriptionService.js';
-import type { IDaemon } from '../../platform/daemon/node/daemon.js';
-import type { ILogService } from '../../platform/log/common/log.js';
-import { nullMetricsService } from '../../platform/metrics/common/metrics.js';
+import type { IDaemon } from '../../services/daemon/node/daemon.js';
+import type { ILogService } from '../../services/log/common/log.js';
+import { nullMetricsService } from '../../services/metrics/common/metrics.js';
 import {
 	defaultConnectionLimits,
 	type ConnectionLimits,
 	type IConnection,
 	type PeerIdentity,
-} from '../../platform/transport/common/transport.js';
-import { FrameListener } from '../../platform/transport/node/frameListener.js';
+} from '../../services/transport/common/transport.js';
+import { FrameListener } from '../../services/transport/node/frameListener.js';
 import type { MemberStatus } from '../../protocol/common/keeperMessages.js';
 import type { SystemStatus } from '../../protocol/common/operatorApi.js';
 import type { IReplicatedLog } from '../../replication/common/replicatedLog.js';
--- a/src/keeper/node/leaderDuties.ts
+++ b/src/keeper/node/leaderDuties.ts
@@ -4,7 +4,7 @@
 import type { IClock } from '../../base/common/clock.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { describeError } from '../../base/common/errors.js';
-import type { ILogService } from '../../platform/log/common/log.js';
+import type { ILogService } from '../../services/log/common/log.js';
 import type { IReplicatedLog } from '../../replication/common/replicatedLog.js';
 import { planDirectory } from '../common/directoryPlan.js';
 import { encodeValue, type KeeperCommand } from '../common/keeperCommands.js';
--- a/src/keeper/node/operatorServer.ts
+++ b/src/keeper/node/operatorServer.ts
@@ -8,10 +8,10 @@
 import { describeError } from '../../base/common/errors.js';
 import { Disposable } from '../../base/common/disposable.js';
 import type { DrainSettings } from '../../declarations/common/drainRule.js';
-import type { ILogService } from '../../platform/log/common/log.js';
-import { createTokenCheck } from '../../platform/http/node/operatorToken.js';
-import { drainServer, ownServer } from '../../platform/http/node/httpServer.js';
-import { listenOn } from '../../platform/transport/node/listen.js';
+import type { ILogService } from '../../services/log/common/log.js';
+import { createTokenCheck } from '../../services/http/node/operatorToken.js';
+import { drainServer, ownServer } from '../../services/http/node/httpServer.js';
+import { listenOn } from '../../services/transport/node/listen.js';
 import {
 	operatorPaths,
 	type ChangeResult,
--- a/src/keeper/node/relayReports.ts
+++ b/src/keeper/node/relayReports.ts
@@ -4,7 +4,7 @@
 import { Disposable } from '../../base/common/disposable.js';
 import { Emitter } from '../../base/common/event.js';
 import type { MemberRegistry, ReportSource } from '../../control/common/memberRegistry.js';
-import type { IConnection } from '../../platform/transport/common/transport.js';
+import type { IConnection } from '../../services/transport/common/transport.js';
 import type { MemberReportsMessage } from '../../protocol/common/keeperMessages.js';
 
 /** Puts the agents of entries into the table of processes. */
--- a/src/keeper/node/reportExchange.ts
+++ b/src/keeper/node/reportExchange.ts
@@ -3,9 +3,9 @@
 import type { IClock } from '../../base/common/clock.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { Emitter } from '../../base/common/event.js';
-import type { IConnection, Message } from '../../platform/transport/common/transport.js';
-import type { ConnectionOptions } from '../../platform/transport/node/frameConnection.js';
-import { FrameConnector } from '../../platform/transport/node/frameConnector.js';
+import type { IConnection, Message } from '../../services/transport/common/transport.js';
+import type { ConnectionOptions } from '../../services/transport/node/frameConnection.js';
+import { FrameConnector } from '../../services/transport/node/frameConnector.js';
 import { memberReportsSchema } from '../../protocol/common/keeperMessageSchemas.js';
 import type { IReplicatedLog } from '../../replication/common/replicatedLog.js';
 import type { MemberRegistry, ReportSource } from '../../control/common/memberRegistry.js';
--- a/src/keeper/node/test/keeperHarness.ts
+++ b/src/keeper/node/test/keeperHarness.ts
@@ -5,14 +5,14 @@
 import { DisposableStore } from '../../../base/common/disposable.js';
 import { Emitter } from '../../../base/common/event.js';
 import { ControlPlaneClient } from '../../../control/node/controlPlaneClient.js';
-import { nullLogService } from '../../../platform/log/common/log.js';
+import { nullLogService } from '../../../services/log/common/log.js';
 import {
 	defaultConnectionLimits,
 	type Message,
 	type PeerIdentity,
 	type ProcessRole,
-} from '../../../platform/transport/common/transport.js';
-import { FrameConnector } from '../../../platform/transport/node/frameConnector.js';
+} from '../../../services/transport/common/transport.js';
+import { FrameConnector } from '../../../services/transport/node/frameConnector.js';
 import type { MemberStatus } from '../../../protocol/common/keeperMessages.js';
 import type { ChangeRequest, ChangeResult } from '../../../protocol/common/operatorApi.js';
 import { ProposeError, type ReplicaStatus } from '../../../replication/common/replicatedLog.js';
--- a/src/keeper/node/test/relay.test.ts
+++ b/src/keeper/node/test/relay.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { waitFor } from '../../../base/common/async.js';
 import { ControlPlaneClient } from '../../../control/node/controlPlaneClient.js';
-import { nullLogService } from '../../../platform/log/common/log.js';
+import { nullLogService } from '../../../services/log/common/log.js';
 import type { ProcessStatus } from '../../../protocol/common/operatorApi.js';
 import {
 	drainChange,
--- a/src/keeper/node/test/relayHarness.ts
+++ b/src/keeper/node/test/relayHarness.ts
@@ -4,9 +4,9 @@
 import { Disposable } from '../../../base/common/disposable.js';
 import { ControlPlaneClient } from '../../../control/node/controlPlaneClient.js';
 import { ControlRelay } from '../../../control/node/controlRelay.js';
-import { nullLogService } from '../../../platform/log/common/log.js';
-import { defaultConnectionLimits, type PeerIdentity } from '../../../platform/transport/common/transport.js';
-import { FrameListener } from '../../../platform/transport/node/frameListener.js';
+import { nullLogService } from '../../../services/log/common/log.js';
+import { defaultConnectionLimits, type PeerIdentity } from '../../../services/transport/common/transport.js';
+import { FrameListener } from '../../../services/transport/node/frameListener.js';
 import { memberStatus, secret, type KeeperHarness, type TestKeeper } from './keeperHarness.js';
 
 const limits = defaultConnectionLimits;
--- a/src/keeper/node/test/subscriptions.test.ts
+++ b/src/keeper/node/test/subscriptions.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { waitFor } from '../../../base/common/async.js';
-import type { Message } from '../../../platform/transport/common/transport.js';
+import type { Message } from '../../../services/transport/common/transport.js';
 import { drainChange, memberStatus, withHarness } from './keeperHarness.js';
 
 test('a subscriber gets changes as they are accepted, and knows how old its state can be', async (t) => {
--- a/src/proof/node/faultProxy.ts
+++ b/src/proof/node/faultProxy.ts
@@ -8,7 +8,7 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { Disposable, toDisposable, type IDisposable } from '../../base/common/disposable.js';
 import { Emitter } from '../../base/common/event.js';
-import { formatAddress, parseAddress } from '../../platform/transport/node/address.js';
+import { formatAddress, parseAddress } from '../../services/transport/node/address.js';
 import { ProxiedConnection } from './proxiedConnection.js';
 import { PreciseTimer } from '../../base/node/preciseTimer.js';
 
--- a/src/proof/node/identifyClient.ts
+++ b/src/proof/node/identifyClient.ts
@@ -1,8 +1,8 @@
 /** Names the process at the client's end of a proxied connection. */
 
-import { defaultConnectionLimits } from '../../platform/transport/common/transport.js';
-import { FrameDecoder } from '../../platform/transport/common/frameCodec.js';
-import { isHello } from '../../platform/transport/node/handshake.js';
+import { defaultConnectionLimits } from '../../services/transport/common/transport.js';
+import { FrameDecoder } from '../../services/transport/common/frameCodec.js';
+import { isHello } from '../../services/transport/node/handshake.js';
 
 /**
  * Reads the `processId` from the hello frame that opens each connection between the system's processes.
--- a/src/proof/node/test/faultProxy.test.ts
+++ b/src/proof/node/test/faultProxy.test.ts
@@ -3,7 +3,7 @@
 import test, { type ExecutionContext } from 'ava';
 import { waitFor } from '../../../base/common/async.js';
 import { FaultProxy, type FaultProxyOptions } from '../faultProxy.js';
-import { parseAddress } from '../../../platform/transport/node/address.js';
+import { parseAddress } from '../../../services/transport/node/address.js';
 
 const waitMs = 5000;
 
--- a/src/proof/test/keeperFixture.ts
+++ b/src/proof/test/keeperFixture.ts
@@ -5,8 +5,8 @@
 import { toDisposable, type IDisposable } from '../../base/common/disposable.js';
 import { ControlPlaneClient } from '../../control/node/controlPlaneClient.js';
 import type { TableEdit, Tables } from '../../declarations/common/tables.js';
-import { nullLogService } from '../../platform/log/common/log.js';
-import type { ProcessRole } from '../../platform/transport/common/transport.js';
+import { nullLogService } from '../../services/log/common/log.js';
+import type { ProcessRole } from '../../services/transport/common/transport.js';
 import type { MemberStatus } from '../../protocol/common/keeperMessages.js';
 import type {
 	ChangeResult,
--- a/src/proof/test/knownRed.ts
+++ b/src/proof/test/knownRed.ts
@@ -4,7 +4,7 @@
 import { fileURLToPath } from 'node:url';
 import test, { type ImplementationFn } from 'ava';
 
-const listFile = fileURLToPath(new URL('../../../KNOWN-RED.txt', import.meta.url));
+const listFile = fileURLToPath(new URL('../../../../KNOWN-RED.txt', import.meta.url));
 
 /** Set by .ci/run, which prints the list; a plain `npm test` runs every test. */
 const isPassingOver = process.env.YUCCAARCH_PASS_OVER_KNOWN_RED === '1';
--- a/src/protocol/common/keeperMessageSchemas.ts
+++ b/src/protocol/common/keeperMessageSchemas.ts
@@ -5,7 +5,7 @@
 
 import { z } from 'zod';
 import { tableDeltaSchema, tablesSchema } from '../../declarations/common/tableSchemas.js';
-import type { ProcessRole } from '../../platform/transport/common/transport.js';
+import type { ProcessRole } from '../../services/transport/common/transport.js';
 import type {
 	ClaimRequest,
 	EntryDirectory,
--- a/src/protocol/common/keeperMessages.ts
+++ b/src/protocol/common/keeperMessages.ts
@@ -1,7 +1,7 @@
 /** Messages between keepers and the processes that subscribe to them. */
 
 import type { TableDelta, Tables } from '../../declarations/common/tables.js';
-import type { ProcessRole } from '../../platform/transport/common/transport.js';
+import type { ProcessRole } from '../../services/transport/common/transport.js';
 import type { UpstreamOffer } from './agentMessages.js';
 
 /** An entry that jobs may be relayed to and that agents connect to. */
--- a/src/replication/common/formation.ts
+++ b/src/replication/common/formation.ts
@@ -40,7 +40,8 @@
 	ctx.sendFormation(from, {
 		kind: 'probeAnswer',
 		diskId: hard.diskId,
-		listKey: listKey(config.initialMembers),
+		// A keeper that must not take part in a new group answers with a list that equals no other's.
+		listKey: config.mayForm ? listKey(config.initialMembers) : '',
 		groupId: hard.groupId,
 		leaderId,
 	});
@@ -99,7 +100,7 @@
 	const { state, nowMs } = ctx;
 	const { config } = state;
 	const names = config.initialMembers.map((member) => member.processId).sort();
-	if (names[0] !== config.processId) {
+	if (names[0] !== config.processId || !config.mayForm) {
 		return false;
 	}
 	const ownKey = listKey(config.initialMembers);
--- a/src/replication/common/membership.ts
+++ b/src/replication/common/membership.ts
@@ -38,7 +38,7 @@
 	const { leadership } = state;
 	const listed = state.log.members.find((member) => member.processId === processId);
 	if (listed === undefined) {
-		leadership.waiting.set(processId, { address, diskId });
+		leadership.waiting.set(processId, { address, diskId, askedMs: nowMs });
 		return;
 	}
 	const peer = leadership.peers.get(processId);
--- a/src/replication/common/replicaState.ts
+++ b/src/replication/common/replicaState.ts
@@ -11,6 +11,8 @@
 	readonly processId: string;
 	readonly address: string;
 	readonly initialMembers: readonly { readonly processId: string; readonly address: string }[];
+	/** Whether this keeper may form a group, or counts for one that another forms. */
+	readonly mayForm: boolean;
 	/** Least silence of a leader before a follower stands; the actual one is up to twice as long. */
 	readonly electionTimeoutMs: number;
 	readonly heartbeatIntervalMs: number;
@@ -59,6 +61,8 @@
 export interface WaitingKeeper {
 	readonly address: string;
 	readonly diskId: string;
+	/** When it last asked. */
+	readonly askedMs: number;
 }
 
 /** State of a leader. */
--- a/src/replication/node/peerLinks.ts
+++ b/src/replication/node/peerLinks.ts
@@ -2,9 +2,9 @@
 
 import { Disposable, DisposableStore, type IDisposable } from '../../base/common/disposable.js';
 import { Emitter } from '../../base/common/event.js';
-import type { IConnection, Message } from '../../platform/transport/common/transport.js';
-import type { ConnectionOptions } from '../../platform/transport/node/frameConnection.js';
-import { FrameConnector } from '../../platform/transport/node/frameConnector.js';
+import type { IConnection, Message } from '../../services/transport/common/transport.js';
+import type { ConnectionOptions } from '../../services/transport/node/frameConnection.js';
+import { FrameConnector } from '../../services/transport/node/frameConnector.js';
 
 /** A message and the keeper it came from. */
 export interface PeerMessage {
--- a/src/replication/node/replicaStorage.ts
+++ b/src/replication/node/replicaStorage.ts
@@ -3,13 +3,13 @@
 import { randomUUID } from 'node:crypto';
 import { mkdir, readdir, rm } from 'node:fs/promises';
 import path from 'node:path';
-import { damagedFile } from '../../platform/storage/common/storageError.js';
-import type { SyncFile } from '../../platform/storage/node/diskAccess.js';
-import { syncFolder } from '../../platform/storage/node/diskAccess.js';
-import { readDurableFile, writeDurableFile } from '../../platform/storage/node/durableFile.js';
-import { lockFolder } from '../../platform/storage/node/folderLock.js';
-import { defaultSegmentBytes, SegmentedLog } from '../../platform/storage/node/segmentedLog.js';
-import type { IDisposable } from '../../base/common/disposable.js';
+import { damagedFile } from '../../services/storage/common/storageError.js';
+import type { SyncFile } from '../../services/storage/node/diskAccess.js';
+import { syncFolder } from '../../services/storage/node/diskAccess.js';
+import { readDurableFile, writeDurableFile } from '../../services/storage/node/durableFile.js';
+import { lockFolder } from '../../services/storage/node/folderLock.js';
+import { defaultSegmentBytes, SegmentedLog } from '../../services/storage/node/segmentedLog.js';
+import { toDisposable, type IDisposable } from '../../base/common/disposable.js';
 import type { HardState, LogEntry, Snapshot } from '../common/logEntry.js';
 import type { ReplicaWrite } from '../common/replicaWrite.js';
 import { decodeEntry, decodeSnapshotFile, encodeEntry, encodeSnapshotFile } from './entryCodec.js';
@@ -28,10 +28,14 @@
 export interface ReplicaStorageOptions {
 	readonly segmentBytes?: number | undefined;
 	readonly syncFile?: SyncFile | undefined;
+	/** Whether the folder is locked against a second process; true by default. */
+	readonly locksFolder?: boolean | undefined;
 	/** Called between the write of entries and their sync. */
 	readonly onWillSync?: (() => void) | undefined;
 }
 
+const noLock = toDisposable(() => undefined);
+
 const snapshotPattern = /^snapshot-(\d{16})$/;
 
 /** The files of one keeper, locked against a second process. */
@@ -54,7 +58,7 @@
 	 */
 	static async open(folder: string, options: ReplicaStorageOptions): Promise<ReplicaStorage> {
 		await mkdir(folder, { recursive: true });
-		const lock = await lockFolder(folder);
+		const lock = options.locksFolder === false ? noLock : await lockFolder(folder);
 		try {
 			return await openLocked(folder, lock, options);
 		} catch (error) {
--- a/src/replication/node/replicatedLog.ts
+++ b/src/replication/node/replicatedLog.ts
@@ -4,13 +4,14 @@
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { describeError } from '../../base/common/errors.js';
 import { Emitter } from '../../base/common/event.js';
-import type { IConnection, Message } from '../../platform/transport/common/transport.js';
+import type { IConnection, Message } from '../../services/transport/common/transport.js';
 import type { ForwardAnswerMessage, ForwardMessage } from '../common/forwardMessages.js';
 import { ageMs } from '../common/freshness.js';
 import type { LogEntry, Snapshot } from '../common/logEntry.js';
 import { step } from '../common/replicaCore.js';
 import type { ReplicaMessage } from '../common/replicaMessages.js';
 import type { ReplicaInput, ReplicaOutput, ReplicaState } from '../common/replicaState.js';
+import { groupHealthOf, type GroupHealth } from '../common/groupPlan.js';
 import { describeNoLeader, statusOf } from '../common/replicaStatus.js';
 import type { IReplicatedLog, MemberChange, ProposeError, ReplicaStatus } from '../common/replicatedLog.js';
 import { createStateFromDisk } from './createStateFromDisk.js';
@@ -79,6 +80,7 @@
 	static async open(options: ReplicatedLogOptions): Promise<ReplicatedLog> {
 		const storage = await ReplicaStorage.open(options.dataFolder, {
 			syncFile: options.syncFile,
+			locksFolder: options.locksFolder,
 			onWillSync: () => {
 				options.faultPoints?.('beforeSync');
 			},
@@ -109,6 +111,11 @@
 			: undefined;
 	}
 
+	/** What this keeper knows of the others' reachability, while it leads; `undefined` while it does not. */
+	get groupHealth(): GroupHealth | undefined {
+		return groupHealthOf(this._state, this._options.clock.nowMs());
+	}
+
 	propose(command: Uint8Array, timeoutMs: number): Promise<Result<Uint8Array, ProposeError>> {
 		return this._router.submit({ kind: 'command', command }, timeoutMs);
 	}
--- a/src/replication/node/replicatedLogOptions.ts
+++ b/src/replication/node/replicatedLogOptions.ts
@@ -1,9 +1,9 @@
 /** Options of a keeper's replicated log. */
 
 import type { IClock } from '../../base/common/clock.js';
-import type { ILogService } from '../../platform/log/common/log.js';
-import type { SyncFile } from '../../platform/storage/node/diskAccess.js';
-import type { ConnectionOptions } from '../../platform/transport/node/frameConnection.js';
+import type { ILogService } from '../../services/log/common/log.js';
+import type { SyncFile } from '../../services/storage/node/diskAccess.js';
+import type { ConnectionOptions } from '../../services/transport/node/frameConnection.js';
 import type { ReplicatedStateMachine } from '../common/replicatedLog.js';
 import type { FaultPointHandler } from './faultPoints.js';
 
@@ -24,6 +24,17 @@
 	readonly address: string;
 	/** The group at its first start, this keeper included. */
 	readonly initialMembers: readonly InitialMember[];
+	/**
+	 * Whether this keeper may take part in forming a new group; true by default. Set it to false where a group is known
+	 * to exist, so that keepers which lost their disks together never begin another.
+	 */
+	readonly mayForm?: boolean | undefined;
+	/**
+	 * Whether the data folder is locked against a second process; true by default. The lock needs abstract Unix sockets.
+	 */
+	readonly locksFolder?: boolean | undefined;
+	/** Entries kept behind a snapshot. */
+	readonly trailingEntries?: number | undefined;
 	readonly stateMachine: ReplicatedStateMachine;
 	/** For the connections to the other keepers. */
 	readonly connection: ConnectionOptions;
--- a/src/replication/node/workRouter.ts
+++ b/src/replication/node/workRouter.ts
@@ -3,7 +3,7 @@
 import { Err, Ok } from 'ts-results-es';
 import type { IClock } from '../../base/common/clock.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
-import type { Message } from '../../platform/transport/common/transport.js';
+import type { Message } from '../../services/transport/common/transport.js';
 import type {
 	ForwardAnswerMessage,
 	ForwardMessage,
--- a/src/replication/test/faultChild.ts
+++ b/src/replication/test/faultChild.ts
@@ -4,7 +4,7 @@
  */
 
 import { writeSync } from 'node:fs';
-import { FrameListener } from '../../platform/transport/node/frameListener.js';
+import { FrameListener } from '../../services/transport/node/frameListener.js';
 import type { FaultPoint } from '../node/faultPoints.js';
 import type { InitialMember } from '../node/replicatedLogOptions.js';
 import { ReplicatedLog } from '../node/replicatedLog.js';
--- a/src/replication/test/measureReplication.ts
+++ b/src/replication/test/measureReplication.ts
@@ -1,5 +1,5 @@
 /**
- * Measures the replicated log on this machine: `node out/replication/test/measureReplication.js`. All keepers share
+ * Measures the replicated log on this machine: `node out/src/replication/test/measureReplication.js`. All keepers share
  * this one process, over loopback, with real files in the temporary folder.
  */
 
--- a/src/replication/test/replicaRules.test.ts
+++ b/src/replication/test/replicaRules.test.ts
@@ -39,6 +39,7 @@
 			chunkBytes: 1000,
 			trailingEntries: 10,
 			random: () => 0.5,
+			mayForm: true,
 			createGroupId: () => 'group',
 		},
 		hard: { diskId: 'disk-of-keeper-0', groupId: 'group', term },
--- a/src/replication/test/simulatedGroup.ts
+++ b/src/replication/test/simulatedGroup.ts
@@ -178,6 +178,7 @@
 				chunkBytes: 16,
 				trailingEntries: 3,
 				random: this._random.next,
+				mayForm: true,
 				createGroupId: () => `group-${this._random.integer(0, 1_000_000)}`,
 			},
 			hard,
--- a/src/replication/test/testKeepers.ts
+++ b/src/replication/test/testKeepers.ts
@@ -5,13 +5,13 @@
 import path from 'node:path';
 import { waitFor } from '../../base/common/async.js';
 import { monotonicClock } from '../../base/common/clock.js';
-import { nullLogService } from '../../platform/log/common/log.js';
+import { nullLogService } from '../../services/log/common/log.js';
 import {
 	defaultConnectionLimits,
 	type IConnection,
 	type PeerIdentity,
-} from '../../platform/transport/common/transport.js';
-import { FrameListener } from '../../platform/transport/node/frameListener.js';
+} from '../../services/transport/common/transport.js';
+import { FrameListener } from '../../services/transport/node/frameListener.js';
 import type { InitialMember, ReplicatedLogOptions } from '../node/replicatedLogOptions.js';
 import { ReplicatedLog } from '../node/replicatedLog.js';
 import { ListMachine } from './listMachine.js';
--- a/src/standins/node/announcer.ts
+++ b/src/standins/node/announcer.ts
@@ -4,7 +4,7 @@
 import { delay } from '../../base/common/async.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { describeError } from '../../base/common/errors.js';
-import type { ILogService } from '../../platform/log/common/log.js';
+import type { ILogService } from '../../services/log/common/log.js';
 import type { UpstreamOptions } from '../common/upstreamOptions.js';
 
 const requestTimeoutMs = 1000;
--- a/src/standins/node/standinUpstream.ts
+++ b/src/standins/node/standinUpstream.ts
@@ -9,11 +9,11 @@
 import { Disposable } from '../../base/common/disposable.js';
 import { SeededRandom } from '../../base/common/random.js';
 import { PreciseTimer } from '../../base/node/preciseTimer.js';
-import type { IDaemon } from '../../platform/daemon/node/daemon.js';
-import type { ILogService } from '../../platform/log/common/log.js';
-import { ownServer } from '../../platform/http/node/httpServer.js';
-import { formatAddress } from '../../platform/transport/node/address.js';
-import { listenOn } from '../../platform/transport/node/listen.js';
+import type { IDaemon } from '../../services/daemon/node/daemon.js';
+import type { ILogService } from '../../services/log/common/log.js';
+import { ownServer } from '../../services/http/node/httpServer.js';
+import { formatAddress } from '../../services/transport/node/address.js';
+import { listenOn } from '../../services/transport/node/listen.js';
 import { taskKey, type TaskIdentity } from '../../protocol/common/jobs.js';
 import type { IJournal, JournalEvent, JournalEventName } from '../common/journal.js';
 import {
