--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -40,6 +40,10 @@
 
 /** Time for which an ended job is remembered, so that the same request gets the same answer. */
 const rememberMs = 10_000;
+/** Time by which each step of priority moves a job back: more than the slack of most, so that priority decides. */
+const priorityStepMs = 300;
+/** Separates jobs that have started, that can be in time, and that can't; beyond every time. */
+const classStepMs = 1e12;
 /** Weight of a newly placed task in the mean duration. */
 const meanWeight = 0.02;
 /** First figure of the mean duration. */
@@ -79,6 +83,7 @@
 	speed: 1,
 	failedEnds: 0,
 	doneEnds: 0,
+	failureStreak: 0,
 	laggards: [],
 };
 
@@ -202,6 +207,20 @@
 		return true;
 	}
 
+	/** Gives up every job. One that has not started is rejected, which is truer than an unknown end. */
+	abandonAll(nowMs: number): void {
+		for (const job of [...this._jobs.values()]) {
+			if (job.hasStarted) {
+				this.counters.abandoned += 1;
+				this._end(job, { kind: 'abandoned' }, nowMs, true);
+				continue;
+			}
+			this.counters.rejected += 1;
+			const retryAfterMs = noWorkersRetryMs;
+			this._end(job, { kind: 'rejected', reason: 'noWorkers', retryAfterMs }, nowMs, true);
+		}
+	}
+
 	/** Takes a new connection of an agent. */
 	agentConnected(linkId: number, agentId: string, incarnation: string, nowMs: number): void {
 		const known = this._agents.get(agentId);
@@ -339,7 +358,7 @@
 		}
 		let cpuAhead = 0;
 		for (const other of this._waiting) {
-			if (other.latestStartMs <= job.latestStartMs) {
+			if (orderOf(other, nowMs) <= orderOf(job, nowMs)) {
 				cpuAhead += other.waitingCount * other.request.needs.cpuMillis;
 			}
 		}
@@ -582,8 +601,10 @@
 	}
 
 	private _noteFailed(job: JobRow, task: TaskRow, agent: AgentRow, nowMs: number): void {
-		task.failures += 1;
 		task.excluded.add(agent.agentId);
+		// What a worker in trouble fails says nothing about the task.
+		const isWorkersFault = agent.health.condition !== 'sound';
+		task.failures += isWorkersFault ? 0 : 1;
 		const { jobId, route, maxAttempts } = job.request;
 		this._host.log('info', 'task.failed', {
 			jobId,
@@ -591,6 +612,7 @@
 			taskIndex: task.taskIndex,
 			agentId: agent.agentId,
 			failures: task.failures,
+			isWorkersFault,
 		});
 		if (task.failures < maxAttempts) {
 			this._release(job, task);
@@ -755,9 +777,16 @@
 	return `${job.request.jobId}/${task.taskIndex}`;
 }
 
-/** Jobs that can still be in time come first, the most urgent one before the others; the rest fills what is left. */
+/**
+ * Place of a job among those that wait: the least first. Jobs of which tasks run already come first, since their work is
+ * lost unless the rest of them runs too; then those that can still be in time, by the latest time at which they must
+ * start and by their route's priority; what is late fills the room that is left.
+ */
 function orderOf(job: JobRow, nowMs: number): number {
-	return job.latestStartMs >= nowMs ? job.latestStartMs : job.latestStartMs + 1e9;
+	const { latestStartMs, request, hasStarted } = job;
+	const lateMs = !hasStarted && latestStartMs < nowMs ? classStepMs : 0;
+	const startedMs = hasStarted ? -classStepMs : 0;
+	return latestStartMs + request.priority * priorityStepMs + lateMs + startedMs;
 }
 
 function toPlacement(request: JobRequest, excluded: ReadonlySet<string>): PlacementRequest {
--- a/src/dispatch/common/dispatchMessages.ts
+++ b/src/dispatch/common/dispatchMessages.ts
@@ -89,6 +89,8 @@
 	/** Failed and done ends of the last seconds, older ones counting less. */
 	readonly failedEnds: number;
 	readonly doneEnds: number;
+	/** Runs that failed one after the other, up to now. */
+	readonly failureStreak: number;
 	/** Running tasks that would be done sooner if they were started anew on a sound worker. */
 	readonly laggards: readonly TaskRunRef[];
 }
--- a/src/dispatch/common/workerHealth.ts
+++ b/src/dispatch/common/workerHealth.ts
@@ -6,12 +6,16 @@
 
 import type { WorkerState } from './dispatchMessages.js';
 
-/** Pace below this share of the pool's median is that of a worker in trouble; estimates alone rarely miss by so much. */
-const slowShare = 0.42;
+/** Pace below this share of the worker's usual speed is that of a worker in trouble; estimates alone rarely miss by so much. */
+const slowShare = 0.36;
+/** Usual speeds below this share of the pool's median are taken for the trouble's own effect. */
+const minUsualShare = 0.7;
 /** Failed ends from which a worker may be in trouble. */
 const minFailures = 2.5;
 /** Share of failed ends above which a worker is in trouble; jobs that can't be done are a few in a hundred. */
-const failingShare = 0.5;
+const failingShare = 0.4;
+/** Failures one after the other that mean trouble at once. */
+const maxFailureStreak = 3;
 /** Time without new tasks after the last sign of trouble. */
 const restMs = 900;
 /** Share of a pool's workers that may rest at the same time; beyond it the trouble is not the workers'. */
@@ -31,11 +35,13 @@
 	restUntilMs: number;
 	/** Done ends at the time when the probing began; more of them end it. */
 	doneAtProbe: number;
+	/** Failures one after the other at that time; more of them mean more rest. */
+	streakAtProbe: number;
 }
 
 /** A new worker's record. */
 export function createHealthRecord(): HealthRecord {
-	return { condition: 'sound', restUntilMs: 0, doneAtProbe: 0 };
+	return { condition: 'sound', restUntilMs: 0, doneAtProbe: 0, streakAtProbe: 0 };
 }
 
 /** One worker with its record. */
@@ -52,50 +58,60 @@
  * const resting = reviewHealth(workers, nowMs);
  */
 export function reviewHealth<T extends WatchedWorker>(workers: readonly T[], nowMs: number): readonly T[] {
-	const medianPace = median(
-		workers.flatMap(({ state, health }) =>
-			state.pace === undefined || health.condition !== 'sound' ? [] : [state.pace],
-		),
-	);
+	const medianSpeed = median(workers.map(({ state }) => state.speed));
 	let resting = workers.filter(({ health }) => health.condition === 'resting').length;
 	const begun: T[] = [];
 	for (const worker of workers) {
 		const { state, health } = worker;
-		if (isInTrouble(state, medianPace)) {
-			if (health.condition !== 'resting' && resting + 1 > Math.max(1, workers.length * maxRestingShare)) {
-				continue;
-			}
-			if (health.condition !== 'resting') {
-				resting += 1;
-				health.condition = 'resting';
-				begun.push(worker);
-			}
+		const isTroubled = isSlow(state, medianSpeed) || isFailing(state, health);
+		if (isTroubled && health.condition === 'resting') {
 			health.restUntilMs = nowMs + restMs;
-			continue;
-		}
-		if (health.condition === 'resting' && nowMs >= health.restUntilMs) {
+		} else if (isTroubled && resting + 1 <= Math.max(1, workers.length * maxRestingShare)) {
+			resting += 1;
+			health.condition = 'resting';
+			health.restUntilMs = nowMs + restMs;
+			begun.push(worker);
+		} else if (health.condition === 'resting' && nowMs >= health.restUntilMs) {
+			resting -= 1;
 			health.condition = 'probed';
+			health.streakAtProbe = state.failureStreak;
 			health.doneAtProbe = state.doneEnds;
-		}
-		if (health.condition === 'probed') {
-			if (state.doneEnds > health.doneAtProbe + 0.5) {
-				health.condition = 'sound';
-			}
-			// Old ends fade; without this a worker that was busy before would have to do more than one task.
-			health.doneAtProbe = Math.min(health.doneAtProbe, state.doneEnds);
+		} else if (health.condition === 'probed') {
+			endProbing(state, health);
 		}
 	}
 	return begun;
 }
 
-function isInTrouble({ pace, failedEnds, doneEnds }: WorkerState, medianPace: number | undefined): boolean {
-	if (pace !== undefined && medianPace !== undefined && pace < slowShare * medianPace) {
-		return true;
+function endProbing(state: WorkerState, health: HealthRecord): void {
+	if (state.doneEnds > health.doneAtProbe + 0.5 || (health.streakAtProbe > 0 && state.failureStreak === 0)) {
+		health.condition = 'sound';
+	}
+	// Old ends fade; without this a worker that was busy before would have to do more than one task.
+	health.doneAtProbe = Math.min(health.doneAtProbe, state.doneEnds);
+}
+
+function isSlow({ pace, speed }: WorkerState, medianSpeed: number): boolean {
+	return pace !== undefined && pace < slowShare * Math.max(speed, minUsualShare * medianSpeed);
+}
+
+/** Failures count once: a worker that rests or is probed is in trouble only by new ones. */
+function isFailing(state: WorkerState, health: HealthRecord): boolean {
+	const { failedEnds, doneEnds, failureStreak } = state;
+	switch (health.condition) {
+		case 'resting':
+			return false;
+		case 'probed':
+			return failureStreak > health.streakAtProbe;
+		case 'sound':
+			return (
+				failureStreak >= maxFailureStreak ||
+				(failedEnds >= minFailures && failedEnds > failingShare * (failedEnds + doneEnds))
+			);
 	}
-	return failedEnds >= minFailures && failedEnds > failingShare * (failedEnds + doneEnds);
 }
 
-function median(values: readonly number[]): number | undefined {
+function median(values: readonly number[]): number {
 	const sorted = [...values].sort((left, right) => left - right);
-	return sorted.length < 2 ? undefined : sorted[Math.floor(sorted.length / 2)];
+	return sorted[Math.floor(sorted.length / 2)] ?? 1;
 }
--- a/src/dispatch/node/dispatcher.ts
+++ b/src/dispatch/node/dispatcher.ts
@@ -91,6 +91,11 @@
 		return isHeld;
 	}
 
+	/** Gives up every job, so that each caller gets an answer before the process ends. */
+	abandonAll(): void {
+		this._core.abandonAll(this._nowMs());
+	}
+
 	/** Where a job stands; `undefined` when it is unknown here. */
 	stateOf(jobId: string): JobState | undefined {
 		return this._core.stateOf(jobId);
--- a/src/dispatch/node/taskExecutor.ts
+++ b/src/dispatch/node/taskExecutor.ts
@@ -9,7 +9,6 @@
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import { describeError } from '../../base/common/errors.js';
 import type { ILogService } from '../../services/log/common/log.js';
-import { DecayingCount } from '../common/decayingCount.js';
 import {
 	countFitting,
 	addNeeds,
@@ -24,6 +23,7 @@
 	type TaskRunRef,
 	type WorkerState,
 } from '../common/dispatchMessages.js';
+import { EndCounts } from '../common/endCounts.js';
 import { HeldRuns, type HeldRun } from '../common/heldRuns.js';
 import { PaceMeter } from '../common/paceMeter.js';
 import type {
@@ -43,8 +43,10 @@
 const busyWaitMs = 60;
 /** The same while nothing runs. */
 const idleWaitMs = 300;
-/** Pause after a hold without an answer. */
-const retryPauseMs = 40;
+/** Holds without an answer, one after the other, from which the worker counts as silent. */
+const silentHolds = 2;
+/** Pause after an order without an answer. */
+const retryPauseMs = 20;
 /** Time that a lost entry has to connect again before its runs are stopped. */
 export const orphanGraceMs = 250;
 /** State-only news wait for others so long. */
@@ -88,8 +90,7 @@
 export class TaskExecutor extends Disposable {
 	private readonly _runs = new HeldRuns();
 	private readonly _pace = new PaceMeter();
-	private readonly _failedEnds = new DecayingCount();
-	private readonly _doneEnds = new DecayingCount();
+	private readonly _ends = new EndCounts();
 	private readonly _links = new Map<number, EntryLink>();
 	private readonly _orphanTimers = new Map<string, NodeJS.Timeout>();
 	private readonly _startedAtMs: number;
@@ -106,6 +107,7 @@
 	private _leaseUntilMs = -Infinity;
 	private _isClean = false;
 	private _isResponding = false;
+	private _unansweredHolds = 0;
 	private _isDraining = false;
 	private _reportTimer: NodeJS.Timeout | undefined;
 	private _isReportSoon = false;
@@ -145,8 +147,7 @@
 			capacityCpuMillis: this._worker?.capacity.cpuMillis ?? 0,
 			speed: this._pace.speed,
 			pace: this._pace.paceAt(nowMs) ?? -1,
-			failedEnds: this._failedEnds.valueAt(nowMs),
-			doneEnds: this._doneEnds.valueAt(nowMs),
+			...this._ends.at(nowMs),
 		};
 	}
 
@@ -334,8 +335,11 @@
 				return;
 			}
 			if (answer.kind === 'unanswered') {
-				this._options.log.warn('run.startUnanswered', { jobId, taskIndex, message: answer.message });
-				this._stopRun(run, 'startUnanswered');
+				if (run.phase === 'starting') {
+					this._options.log.warn('run.startUnanswered', { jobId, taskIndex, message: answer.message });
+					this._stopRun(run, 'startUnanswered');
+				}
+				// Otherwise the worker lists the run already: only the answer was lost.
 				return;
 			}
 			if (!this._isWorthRetry(answer.reason) || tries === maxStartTries) {
@@ -358,7 +362,7 @@
 		const { jobId, taskIndex } = run;
 		this._options.log.info('run.refused', { jobId, taskIndex, reason });
 		if (reason === 'unhealthy') {
-			this._failedEnds.add(this._nowMs());
+			this._ends.noteFailed(jobId, this._nowMs());
 		}
 		this._remove(run);
 		const told: RefusalReason =
@@ -439,6 +443,7 @@
 	private async _takeHold(answer: HoldAnswer, sentMs: number): Promise<void> {
 		const nowMs = this._nowMs();
 		if (answer.kind === 'held') {
+			this._unansweredHolds = 0;
 			this._noteResponding(true, '');
 			if (this._isOtherLife(answer.bornAtMs)) {
 				this._loseWorker('reborn');
@@ -462,7 +467,10 @@
 			await new Promise((resolve) => setTimeout(resolve, retryPauseMs));
 			return;
 		}
-		this._noteResponding(false, answer.message);
+		this._unansweredHolds += 1;
+		if (this._unansweredHolds >= silentHolds) {
+			this._noteResponding(false, answer.message);
+		}
 		if (nowMs > this._leaseUntilMs + leaseSlackMs) {
 			this._endAll('lost');
 			this._isClean ||= nowMs - this._startedAtMs > earlierLifeMs;
@@ -491,13 +499,13 @@
 		const nowMs = this._nowMs();
 		const key = taskKeyOf(run);
 		if (end.end === 'done') {
-			this._doneEnds.add(nowMs);
+			this._ends.noteDone(nowMs);
 			this._pace.noteDone(key, run.estimateMs, nowMs - run.startedMs);
 		} else {
 			this._pace.forget(key);
 		}
 		if (end.end === 'failed') {
-			this._failedEnds.add(nowMs);
+			this._ends.noteFailed(run.jobId, nowMs);
 		}
 		this._endRun(run, end.end);
 	}
@@ -611,8 +619,7 @@
 		this._clockOffsetMs = undefined;
 		this._leaseUntilMs = -Infinity;
 		this._pace.clear();
-		this._failedEnds.clear();
-		this._doneEnds.clear();
+		this._ends.clear();
 		this._endAll('lost');
 		this._stateChanged();
 	}
@@ -750,8 +757,7 @@
 			isAccepting: this._isAccepting(),
 			speed: this._pace.speed,
 			pace,
-			failedEnds: this._failedEnds.valueAt(nowMs),
-			doneEnds: this._doneEnds.valueAt(nowMs),
+			...this._ends.at(nowMs),
 			laggards: this._laggards(worker, pace ?? 1, nowMs),
 		};
 	}
