Split the agent's work and the entry's decisions into small modules

Found on the way and mended: room that one pool lacked blocked the jobs of another, a job could wait twice in the list, and a worker that tells no birth would have been taken for another life.

--- a/build/lint/layers.js
+++ b/build/lint/layers.js
@@ -16,6 +16,9 @@
 	protocol: ['services', 'declarations'],
 	control: ['services', 'declarations', 'protocol'],
 	replication: ['services'],
+	routing: ['services', 'replication', 'cluster'],
+	cluster: ['services'],
+	dispatch: ['services'],
 	keeper: ['services', 'declarations', 'protocol', 'control', 'replication'],
 	entry: ['services', 'declarations', 'protocol', 'control', 'burn'],
 	agent: ['services', 'declarations', 'protocol', 'control'],
@@ -55,6 +58,10 @@
 	meta: { type: 'problem', schema: [], messages: { bad: '{{text}}' } },
 	create(context) {
 		const sourceRoot = path.join(context.cwd, 'src');
+		if (!context.filename.startsWith(sourceRoot + path.sep)) {
+			// The adapter in platform/ puts the product's parts together and may import each of them.
+			return {};
+		}
 		const from = locate(sourceRoot, context.filename);
 		const report = (node, text) => {
 			context.report({ node, messageId: 'bad', data: { text } });
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,19 +1,21 @@
 import eslint from '@eslint/js';
 import tseslint from 'typescript-eslint';
 import { layersRule } from './build/lint/layers.js';
+import { platformWordsRule } from './build/lint/platformWords.js';
 
 export default tseslint.config(
 	{ ignores: ['out/**', 'target/**', 'journal/**', 'node_modules/**'] },
 	eslint.configs.recommended,
 	{
-		files: ['src/**/*.ts'],
+		files: ['src/**/*.ts', 'platform/**/*.ts'],
 		extends: [tseslint.configs.strictTypeChecked, tseslint.configs.stylisticTypeChecked],
-		plugins: { yuccaarch: { rules: { layers: layersRule } } },
+		plugins: { yuccaarch: { rules: { layers: layersRule, 'platform-words': platformWordsRule } } },
 		languageOptions: {
 			parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
 		},
 		rules: {
 			'yuccaarch/layers': 'error',
+			'yuccaarch/platform-words': 'error',
 			curly: ['error', 'all'],
 			eqeqeq: 'error',
 			'prefer-arrow-callback': 'error',
@@ -40,7 +42,7 @@
 		},
 	},
 	{
-		files: ['src/**/test/**/*.ts'],
+		files: ['src/**/test/**/*.ts', 'platform/test/**/*.ts'],
 		rules: {
 			'@typescript-eslint/no-non-null-assertion': 'off',
 			'max-lines': 'off',
--- a/src/cluster/node/clusterClient.ts
+++ b/src/cluster/node/clusterClient.ts
@@ -2,10 +2,7 @@
 
 import type { IClock } from '../../base/common/clock.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
-import { describeError } from '../../base/common/errors.js';
 import { Emitter } from '../../base/common/event.js';
-import type { RoutingDocument } from '../../routing/common/routingDocument.js';
-import { decodeDocument } from '../../routing/node/routingCodec.js';
 import type { ILogService } from '../../services/log/common/log.js';
 import type { IConnection, Message } from '../../services/transport/common/transport.js';
 import type { ConnectionOptions } from '../../services/transport/node/frameConnection.js';
@@ -56,7 +53,6 @@
 	private readonly _entries = new Map<string, KnownEntry>();
 	private _seeds: readonly string[] = [];
 	private _routing: { readonly version: number; readonly document: Uint8Array } | undefined;
-	private _decoded: RoutingDocument | undefined;
 
 	constructor(private readonly _options: ClusterClientOptions) {
 		super();
@@ -78,11 +74,6 @@
 		return this._routing;
 	}
 
-	/** {@link routing}, decoded. */
-	get document(): RoutingDocument | undefined {
-		return this._decoded;
-	}
-
 	/** Addresses of keepers: the seeds, and what servers tell. */
 	get keepers(): readonly string[] {
 		return [...new Set([...this._seeds, ...this._keepersSeenMs.keys()])];
@@ -219,18 +210,7 @@
 		if (version <= previousVersion) {
 			return;
 		}
-		try {
-			this._decoded = decodeDocument(document);
-		} catch (error) {
-			this._options.log.error('routing.unreadable', { version, message: describeError(error) });
-			return;
-		}
 		this._routing = { version, document: new Uint8Array(document) };
-		this._options.log.info('routing.inForce', {
-			version,
-			previousVersion,
-			routes: this._decoded.routes.length,
-		});
 		this._onDidChangeRouting.fire(undefined);
 	}
 
--- a/src/cluster/node/viewServer.ts
+++ b/src/cluster/node/viewServer.ts
@@ -82,7 +82,7 @@
 		}
 		const routing = this._source.routing();
 		if (received.kind === 'fetchRouting' && routing !== undefined) {
-			subscriber.connection.send({ ...routing, kind: 'routing' } as Message);
+			subscriber.connection.send({ ...routing, kind: 'routing' });
 		}
 	}
 
@@ -99,7 +99,7 @@
 			return;
 		}
 		subscriber.toldView = text;
-		subscriber.connection.send({ kind: 'clusterView', ...view } as Message);
+		subscriber.connection.send({ kind: 'clusterView', ...view });
 	}
 
 	private _tellVersions(): void {
--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -4,33 +4,20 @@
  */
 
 import type { LogFields } from '../../services/log/common/log.js';
-import { decideAdmission } from './admission.js';
+import { AgentTable, removeRun, runKeyOf, takeState, type AgentRow } from './agentTable.js';
 import {
-	addNeeds,
-	countFitting,
-	noNeeds,
+	taskKeyOf,
 	type AgentReportMessage,
-	type JobStart,
-	type StartTasksMessage,
-	type StopTasksMessage,
 	type TaskEndReport,
-	type TaskNeeds,
 	type TaskRunRef,
-	type WorkerState,
 } from './dispatchMessages.js';
+import { createCounters, type IDispatchHost } from './dispatchHost.js';
+import { noWorkersRetryMs, refusalOf, type JobRefusal } from './jobAdmission.js';
+import { orderOf } from './jobOrder.js';
 import { createJobRow, type JobRow, type TaskRow } from './jobTable.js';
-import type { JobOutcome, JobRequest, JobState, RejectionReason } from './jobs.js';
-import { chooseWorker, freeAt, isEligible, type PlacementRequest, type WorkerView } from './placement.js';
-import { createHealthRecord, reviewHealth, type HealthRecord } from './workerHealth.js';
-
-/** What the core asks of its surroundings. */
-export interface IDispatchHost {
-	send(linkId: number, message: StartTasksMessage | StopTasksMessage): void;
-	log(level: 'info' | 'warn', event: string, fields: LogFields): void;
-	/** Entries that place on the same workers, this one included. */
-	entryCount(): number;
-	random(): number;
-}
+import type { JobOutcome, JobRequest, JobState } from './jobs.js';
+import { TaskPlacer } from './taskPlacer.js';
+import { reviewHealth } from './workerHealth.js';
 
 /** Settings of the core. */
 export interface DispatchOptions {
@@ -40,67 +27,11 @@
 
 /** Time for which an ended job is remembered, so that the same request gets the same answer. */
 const rememberMs = 10_000;
-/** Time by which each step of priority moves a job back: more than the slack of most, so that priority decides. */
-const priorityStepMs = 300;
-/** Separates jobs that have started, that can be in time, and that can't; beyond every time. */
-const classStepMs = 1e12;
-/** Weight of a newly placed task in the mean duration. */
-const meanWeight = 0.02;
-/** First figure of the mean duration. */
-const initialMeanTaskMs = 300;
 /** Time before its deadline at which a job that can't be done any more is given up. */
 const giveUpLeadMs = 20;
-/** Retry hint where no worker is known. */
-const noWorkersRetryMs = 2000;
 /** Time after the entry's start in which a job waits for the first workers to report. */
 const settlingMs = 1500;
 
-interface AgentRow extends WorkerView {
-	readonly agentId: string;
-	readonly incarnation: string;
-	/** The open connection; `undefined` while it is lost. */
-	linkId: number | undefined;
-	state: WorkerState;
-	hasState: boolean;
-	readonly health: HealthRecord;
-	unseen: TaskNeeds;
-	/** Needs of each start message that the agent's state does not take into account yet. */
-	readonly unseenBySequence: Map<number, TaskNeeds>;
-	nextSequence: number;
-	runCount: number;
-	readonly runs: Map<string, { readonly job: JobRow; readonly task: TaskRow }>;
-	lostAtMs: number;
-}
-
-const unknownState: WorkerState = {
-	workerId: '',
-	dataCentre: '',
-	pool: '',
-	labels: [],
-	capacity: noNeeds,
-	used: noNeeds,
-	isAccepting: false,
-	speed: 1,
-	failedEnds: 0,
-	doneEnds: 0,
-	failureStreak: 0,
-	laggards: [],
-};
-
-/** Counters of the core, for metrics. */
-export interface DispatchCounters {
-	accepted: number;
-	completed: number;
-	failed: number;
-	rejected: number;
-	abandoned: number;
-	cancelled: number;
-	startsSent: number;
-	startsRefused: number;
-	runsLost: number;
-	runsMoved: number;
-}
-
 /**
  * State and decisions of one entry.
  *
@@ -109,24 +40,12 @@
  * core.schedule(clock.nowMs());
  */
 export class DispatchCore {
-	readonly counters: DispatchCounters = {
-		accepted: 0,
-		completed: 0,
-		failed: 0,
-		rejected: 0,
-		abandoned: 0,
-		cancelled: 0,
-		startsSent: 0,
-		startsRefused: 0,
-		runsLost: 0,
-		runsMoved: 0,
-	};
+	readonly counters = createCounters();
 	private readonly _jobs = new Map<string, JobRow>();
 	private readonly _ended = new Map<string, { readonly outcome: JobOutcome; readonly atMs: number }>();
-	private readonly _agents = new Map<string, AgentRow>();
-	private readonly _agentByLink = new Map<number, AgentRow>();
-	private _waiting: JobRow[] = [];
-	private _meanTaskMs = initialMeanTaskMs;
+	private readonly _agents = new AgentTable();
+	private readonly _placer: TaskPlacer;
+	private readonly _waiting = new Set<JobRow>();
 	private readonly _startedAtMs: number;
 
 	constructor(
@@ -135,6 +54,13 @@
 		nowMs: number,
 	) {
 		this._startedAtMs = nowMs;
+		this._placer = new TaskPlacer(
+			this._agents,
+			(linkId, message) => {
+				_host.send(linkId, message);
+			},
+			() => _host.random(),
+		);
 	}
 
 	/** Jobs that are not ended. */
@@ -145,7 +71,7 @@
 	/** Workers that are connected and take tasks. */
 	get workerCount(): number {
 		let count = 0;
-		for (const agent of this._agents.values()) {
+		for (const agent of this._agents.all) {
 			count += agent.state.isAccepting && agent.linkId !== undefined ? 1 : 0;
 		}
 		return count;
@@ -223,57 +149,25 @@
 
 	/** Takes a new connection of an agent. */
 	agentConnected(linkId: number, agentId: string, incarnation: string, nowMs: number): void {
-		const known = this._agents.get(agentId);
-		if (known?.incarnation === incarnation) {
-			if (known.linkId !== undefined) {
-				this._agentByLink.delete(known.linkId);
-			}
-			known.linkId = linkId;
-			known.unseenBySequence.clear();
-			known.unseen = noNeeds;
-			known.nextSequence = 1;
-			this._agentByLink.set(linkId, known);
-			return;
+		const earlierLife = this._agents.connect(linkId, agentId, incarnation);
+		if (earlierLife !== undefined) {
+			this._doubtAllRuns(earlierLife, nowMs);
 		}
-		if (known !== undefined) {
-			this._doubtAllRuns(known, nowMs);
-			this._dropAgent(known);
-		}
-		const agent: AgentRow = {
-			agentId,
-			incarnation,
-			linkId,
-			state: unknownState,
-			hasState: false,
-			health: createHealthRecord(),
-			unseen: noNeeds,
-			unseenBySequence: new Map(),
-			nextSequence: 1,
-			runCount: 0,
-			runs: new Map(),
-			lostAtMs: 0,
-		};
-		this._agents.set(agentId, agent);
-		this._agentByLink.set(linkId, agent);
 	}
 
 	/** Takes the loss of a connection. */
 	agentLost(linkId: number, reason: string, nowMs: number): void {
-		const agent = this._agentByLink.get(linkId);
-		this._agentByLink.delete(linkId);
-		if (agent?.linkId !== linkId) {
+		const agent = this._agents.disconnect(linkId, nowMs);
+		if (agent === undefined) {
 			return;
 		}
-		agent.linkId = undefined;
-		agent.lostAtMs = nowMs;
-		agent.state = { ...agent.state, isAccepting: false };
 		this._host.log('warn', 'agent.lost', { agentId: agent.agentId, reason, runs: agent.runs.size });
 		this._doubtAllRuns(agent, nowMs);
 	}
 
 	/** Takes a report of an agent. */
 	takeReport(linkId: number, report: AgentReportMessage, nowMs: number): void {
-		const agent = this._agentByLink.get(linkId);
+		const agent = this._agents.byLink(linkId);
 		if (agent === undefined) {
 			return;
 		}
@@ -288,18 +182,11 @@
 			return;
 		}
 		if (!agent.hasState) {
-			agent.hasState = true;
 			const { pool, workerId, dataCentre } = report.state;
 			this._host.log('info', 'agent.reported', { agentId: agent.agentId, workerId, pool, dataCentre });
 			this._settleEarlierLife(agent, nowMs);
 		}
-		agent.state = report.state;
-		for (const sequence of [...agent.unseenBySequence.keys()]) {
-			if (sequence <= report.handledSequence) {
-				agent.unseenBySequence.delete(sequence);
-			}
-		}
-		agent.unseen = [...agent.unseenBySequence.values()].reduce((sum, needs) => addNeeds(sum, needs), noNeeds);
+		takeState(agent, report.state, report);
 		this._moveLaggards(agent);
 	}
 
@@ -316,79 +203,36 @@
 		nowMs: number,
 	): JobRow | undefined {
 		const job = createJobRow(request, nowMs);
-		const refusal = this._refusalOf(job, nowMs);
+		const pool = this._agents.inPool(request.pool);
+		const isSettling = pool.length === 0 && nowMs - this._startedAtMs < settlingMs;
+		const refusal = isSettling ? undefined : this._refusalOf(job, pool, nowMs);
 		if (refusal !== undefined) {
+			const { reason, retryAfterMs, inputs } = refusal;
 			this.counters.rejected += 1;
-			listener({ kind: 'rejected', ...refusal });
+			this._logRejection(job, { reason, ...inputs });
+			listener({ kind: 'rejected', reason, retryAfterMs });
 			return undefined;
 		}
 		this.counters.accepted += 1;
 		this._jobs.set(request.jobId, job);
-		this._waiting.push(job);
+		this._waiting.add(job);
 		return job;
 	}
 
-	private _refusalOf(
-		job: JobRow,
-		nowMs: number,
-	): { readonly reason: RejectionReason; readonly retryAfterMs: number } | undefined {
-		const { request } = job;
-		const placement = toPlacement(request, emptySet);
-		const pool = [...this._agents.values()].filter(
-			({ state, linkId }) => linkId !== undefined && state.pool === request.pool,
-		);
-		if (pool.length === 0 && nowMs - this._startedAtMs < settlingMs) {
-			return undefined;
-		}
-		if (!pool.some(({ state }) => state.isAccepting)) {
-			this._logRefusal(job, 'noWorkers', { agents: this._agents.size });
-			return { reason: 'noWorkers', retryAfterMs: noWorkersRetryMs };
-		}
-		if (!pool.some(({ state }) => countFitting(request.needs, state.capacity) > 0)) {
-			this._logRefusal(job, 'doesNotFit', { cpuMillis: request.needs.cpuMillis });
-			return { reason: 'doesNotFit', retryAfterMs: noWorkersRetryMs };
-		}
-		let freeSlots = 0;
-		let busySlots = 0;
-		for (const agent of pool) {
-			if (isEligible(agent, placement)) {
-				freeSlots += countFitting(request.needs, freeAt(agent));
-				busySlots += agent.state.used.cpuMillis / Math.max(1, request.needs.cpuMillis);
-			}
-		}
-		let cpuAhead = 0;
-		for (const other of this._waiting) {
-			if (orderOf(other, nowMs) <= orderOf(job, nowMs)) {
-				cpuAhead += other.waitingCount * other.request.needs.cpuMillis;
-			}
-		}
-		const decision = decideAdmission(
-			{
-				taskCount: request.taskCount,
-				freeSlots,
-				busySlots,
-				tasksAhead: cpuAhead / Math.max(1, request.needs.cpuMillis),
-				entryCount: this._host.entryCount(),
-				meanTaskMs: this._meanTaskMs,
-				slackMs: job.latestStartMs - nowMs,
-			},
-			() => this._host.random(),
-		);
-		if (decision.isTaken) {
-			return undefined;
-		}
-		this._logRefusal(job, 'overloaded', {
-			forecastWaitMs: Math.round(Math.min(decision.waitMs, 1e6)),
-			slackMs: Math.round(job.latestStartMs - nowMs),
-			freeSlots,
-			busySlots: Math.round(busySlots),
+	private _refusalOf(job: JobRow, pool: readonly AgentRow[], nowMs: number): JobRefusal | undefined {
+		return refusalOf(job, {
+			pool,
+			waiting: [...this._waiting],
+			entryCount: this._host.entryCount(),
+			meanTaskMs: this._placer.meanTaskMs,
+			nowMs,
+			random: () => this._host.random(),
 		});
-		return { reason: 'overloaded', retryAfterMs: decision.retryAfterMs };
 	}
 
-	private _logRefusal({ request }: JobRow, reason: RejectionReason, inputs: LogFields): void {
+	private _logRejection({ request }: JobRow, inputs: LogFields): void {
 		const { jobId, route, taskCount } = request;
-		this._host.log('info', 'job.rejected', { jobId, route, taskCount, reason, ...inputs });
+		this._host.log('info', 'job.rejected', { jobId, route, taskCount, ...inputs });
 	}
 
 	private _expire(nowMs: number): void {
@@ -403,7 +247,7 @@
 				if (task.phase === 'inDoubt' && nowMs >= task.doubtUntilMs) {
 					const agent = this._agents.get(task.agentId);
 					if (agent !== undefined) {
-						this._forgetRun(agent, job, task);
+						removeRun(agent, job, task);
 					}
 					this._release(job, task);
 				}
@@ -417,7 +261,7 @@
 		if (!job.hasStarted) {
 			if (nowMs > Math.min(job.latestStartMs, job.deadlineMs - giveUpLeadMs)) {
 				this.counters.rejected += 1;
-				this._logRefusal(job, 'overloaded', { waitedMs: Math.round(nowMs - job.arrivedMs) });
+				this._logRejection(job, { reason: 'overloaded', waitedMs: Math.round(nowMs - job.arrivedMs) });
 				const retryAfterMs = noWorkersRetryMs * (0.5 + this._host.random());
 				this._end(job, { kind: 'rejected', reason: 'overloaded', retryAfterMs }, nowMs, true);
 			}
@@ -441,7 +285,7 @@
 
 	private _reviewWorkers(nowMs: number): void {
 		const byPool = new Map<string, AgentRow[]>();
-		for (const agent of this._agents.values()) {
+		for (const agent of this._agents.all) {
 			if (agent.linkId !== undefined && agent.hasState) {
 				const pool = byPool.get(agent.state.pool) ?? [];
 				pool.push(agent);
@@ -459,109 +303,26 @@
 				});
 			}
 		}
-		for (const agent of this._agents.values()) {
+		for (const agent of this._agents.all) {
 			if (agent.health.condition === 'resting') {
 				this._moveLaggards(agent);
 			}
 			if (agent.linkId === undefined && agent.runs.size === 0 && nowMs - agent.lostAtMs > rememberMs) {
-				this._dropAgent(agent);
+				this._agents.forget(agent);
 			}
 		}
 	}
 
 	private _placeWaiting(nowMs: number): void {
-		if (this._waiting.length === 0) {
-			return;
-		}
-		this._waiting = this._waiting.filter(
-			(job) => job.waitingCount > 0 && this._jobs.get(job.request.jobId) === job,
-		);
-		this._waiting.sort((left, right) => orderOf(left, nowMs) - orderOf(right, nowMs));
-		const starts = new Map<AgentRow, Map<JobRow, JobStart>>();
-		let blockedCpuMillis = Infinity;
 		for (const job of this._waiting) {
-			const { needs } = job.request;
-			if (needs.cpuMillis >= blockedCpuMillis) {
-				continue;
-			}
-			if (!this._placeJob(job, starts)) {
-				blockedCpuMillis = Math.min(blockedCpuMillis, needs.cpuMillis);
-			}
-		}
-		for (const [agent, byJob] of starts) {
-			this._sendStarts(agent, [...byJob.values()]);
-		}
-	}
-
-	/** Places a job's waiting tasks; returns whether none of them lacked room. */
-	private _placeJob(job: JobRow, starts: Map<AgentRow, Map<JobRow, JobStart>>): boolean {
-		for (const task of job.tasks) {
-			if (task.phase !== 'waiting') {
-				continue;
-			}
-			const placement = toPlacement(job.request, task.excluded);
-			const agent = chooseWorker(this._agents.values(), placement, () => this._host.random());
-			if (agent === undefined) {
-				if (task.excluded.size > 0) {
-					this._forgiveWhenNoneIsLeft(task, placement);
-					continue;
-				}
-				return false;
+			if (job.waitingCount === 0 || this._jobs.get(job.request.jobId) !== job) {
+				this._waiting.delete(job);
 			}
-			this._place(job, task, agent, starts);
 		}
-		return true;
-	}
-
-	/** A task that was refused or failed everywhere may go anywhere again. */
-	private _forgiveWhenNoneIsLeft(task: TaskRow, placement: PlacementRequest): void {
-		for (const agent of this._agents.values()) {
-			if (isEligible(agent, placement)) {
-				return;
-			}
+		if (this._waiting.size > 0) {
+			const jobs = [...this._waiting].sort((left, right) => orderOf(left, nowMs) - orderOf(right, nowMs));
+			this.counters.startsSent += this._placer.place(jobs);
 		}
-		task.excluded.clear();
-	}
-
-	private _place(
-		job: JobRow,
-		task: TaskRow,
-		agent: AgentRow,
-		starts: Map<AgentRow, Map<JobRow, JobStart>>,
-	): void {
-		const { request } = job;
-		task.phase = 'placed';
-		task.run += 1;
-		task.agentId = agent.agentId;
-		job.waitingCount -= 1;
-		job.hasStarted = true;
-		job.state = 'running';
-		this._meanTaskMs += meanWeight * (request.estimateMs - this._meanTaskMs);
-		agent.runs.set(keyOf(job, task), { job, task });
-		agent.runCount += 1;
-		agent.unseen = addNeeds(agent.unseen, request.needs);
-		const byJob = starts.get(agent) ?? new Map<JobRow, JobStart>();
-		starts.set(agent, byJob);
-		const present = byJob.get(job);
-		const run = { taskIndex: task.taskIndex, run: task.run };
-		const { jobId, pool, payload, needs, estimateMs } = request;
-		const tasks = [...(present?.tasks ?? []), run];
-		byJob.set(job, { jobId, pool, payload, needs, estimateMs, tasks });
-	}
-
-	private _sendStarts(agent: AgentRow, jobs: readonly JobStart[]): void {
-		if (agent.linkId === undefined) {
-			return;
-		}
-		const sequence = agent.nextSequence;
-		agent.nextSequence += 1;
-		let needs = noNeeds;
-		for (const job of jobs) {
-			needs = addNeeds(needs, job.needs, job.tasks.length);
-			this.counters.startsSent += job.tasks.length;
-		}
-		agent.unseenBySequence.set(sequence, needs);
-		this._host.send(agent.linkId, { kind: 'startTasks', sequence, jobs });
 	}
 
 	private _takeEnd(agent: AgentRow, report: TaskEndReport, nowMs: number): void {
@@ -573,7 +334,7 @@
 		if (task.phase === 'waiting' || task.phase === 'done') {
 			return;
 		}
-		this._forgetRun(agent, job, task);
+		removeRun(agent, job, task);
 		switch (report.end) {
 			case 'done':
 				this._noteDone(job, task, nowMs);
@@ -638,9 +399,7 @@
 	private _release(job: JobRow, task: TaskRow): void {
 		task.phase = 'waiting';
 		task.agentId = '';
-		if (job.waitingCount === 0) {
-			this._waiting.push(job);
-		}
+		this._waiting.add(job);
 		job.waitingCount += 1;
 	}
 
@@ -665,10 +424,10 @@
 		const byAgent = new Map<AgentRow, TaskRunRef[]>();
 		for (const task of job.tasks) {
 			const agent = this._agents.get(task.agentId);
-			if (agent === undefined || !agent.runs.has(keyOf(job, task))) {
+			if (!agent?.runs.has(runKeyOf(job, task))) {
 				continue;
 			}
-			this._forgetRun(agent, job, task);
+			removeRun(agent, job, task);
 			const tasks = byAgent.get(agent) ?? [];
 			tasks.push({ jobId: job.request.jobId, taskIndex: task.taskIndex, run: task.run });
 			byAgent.set(agent, tasks);
@@ -721,7 +480,7 @@
 	private _settleEarlierLife(agent: AgentRow, nowMs: number): void {
 		for (const job of this._jobs.values()) {
 			for (const task of job.tasks) {
-				const isOfEarlierLife = task.agentId === agent.agentId && !agent.runs.has(keyOf(job, task));
+				const isOfEarlierLife = task.agentId === agent.agentId && !agent.runs.has(runKeyOf(job, task));
 				if (task.phase === 'inDoubt' && isOfEarlierLife) {
 					task.doubtUntilMs = nowMs;
 				}
@@ -730,23 +489,20 @@
 	}
 
 	private _resumeHeld(agent: AgentRow, heldRuns: readonly TaskRunRef[]): void {
-		const held = new Map(heldRuns.map((run) => [`${run.jobId}/${run.taskIndex}`, run.run]));
+		const held = new Map(heldRuns.map((run) => [taskKeyOf(run), run]));
 		const stale: TaskRunRef[] = [];
 		for (const [key, run] of held) {
 			const known = agent.runs.get(key);
-			if (known?.task.run === run && known.task.phase === 'inDoubt') {
+			if (known?.task.run !== run.run) {
+				stale.push(run);
+			} else if (known.task.phase === 'inDoubt') {
 				known.task.phase = 'placed';
-				continue;
-			}
-			if (known?.task.run !== run) {
-				const [jobId = '', taskIndex] = key.split('/');
-				stale.push({ jobId, taskIndex: Number(taskIndex), run });
 			}
 		}
 		// What the agent does not hold and reported no end of was never taken by it.
 		for (const [key, { job, task }] of [...agent.runs]) {
 			if (!held.has(key) && task.phase === 'inDoubt') {
-				this._forgetRun(agent, job, task);
+				removeRun(agent, job, task);
 				this._release(job, task);
 			}
 		}
@@ -754,42 +510,4 @@
 			this._host.send(agent.linkId, { kind: 'stopTasks', tasks: stale });
 		}
 	}
-
-	private _forgetRun(agent: AgentRow, job: JobRow, task: TaskRow): void {
-		if (agent.runs.delete(keyOf(job, task))) {
-			agent.runCount -= 1;
-		}
-	}
-
-	private _dropAgent(agent: AgentRow): void {
-		if (agent.linkId !== undefined) {
-			this._agentByLink.delete(agent.linkId);
-		}
-		if (this._agents.get(agent.agentId) === agent) {
-			this._agents.delete(agent.agentId);
-		}
-	}
-}
-
-const emptySet: ReadonlySet<string> = new Set();
-
-function keyOf(job: JobRow, task: TaskRow): string {
-	return `${job.request.jobId}/${task.taskIndex}`;
-}
-
-/**
- * Place of a job among those that wait: the least first. Jobs of which tasks run already come first, since their work is
- * lost unless the rest of them runs too; then those that can still be in time, by the latest time at which they must
- * start and by their route's priority; what is late fills the room that is left.
- */
-function orderOf(job: JobRow, nowMs: number): number {
-	const { latestStartMs, request, hasStarted } = job;
-	const lateMs = !hasStarted && latestStartMs < nowMs ? classStepMs : 0;
-	const startedMs = hasStarted ? -classStepMs : 0;
-	return latestStartMs + request.priority * priorityStepMs + lateMs + startedMs;
-}
-
-function toPlacement(request: JobRequest, excluded: ReadonlySet<string>): PlacementRequest {
-	const { pool, needs, estimateMs, requiredLabel, preferredLabel, awayFactor } = request;
-	return { pool, needs, estimateMs, requiredLabel, preferredLabel, awayFactor, excluded };
 }
--- a/src/dispatch/common/dispatchMessages.ts
+++ b/src/dispatch/common/dispatchMessages.ts
@@ -118,6 +118,11 @@
 	return `${jobId}/${taskIndex}`;
 }
 
+/** What identifies a run, without the rest of its row. */
+export function runRefOf({ jobId, taskIndex, run }: TaskRunRef): TaskRunRef {
+	return { jobId, taskIndex, run };
+}
+
 /** No needs at all. */
 export const noNeeds: TaskNeeds = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
 
--- a/src/dispatch/common/heldRuns.ts
+++ b/src/dispatch/common/heldRuns.ts
@@ -4,6 +4,7 @@
 	addNeeds,
 	noNeeds,
 	taskKeyOf,
+	type JobStart,
 	type TaskEndReport,
 	type TaskNeeds,
 	type TaskRef,
@@ -15,6 +16,9 @@
 /** Time for which the number of the last run is remembered; longer than a start may be on its way. */
 const rememberRunMs = 30_000;
 
+/** Time for which a running task may be missing in the worker's lists before it counts as lost. */
+const missingMs = 300;
+
 /** Where a run stands. `stopping`: it ends as soon as the worker confirms. */
 export type HeldRunPhase = 'starting' | 'running' | 'stopping';
 
@@ -34,6 +38,41 @@
 	missingSinceMs: number | undefined;
 }
 
+/**
+ * What became of a run that the worker lists neither as running nor as ended; `undefined` while that isn't known.
+ *
+ * @param sentMs when the call was sent that the lists answer
+ */
+export function judgeMissing(run: HeldRun, sentMs: number, nowMs: number): 'stopped' | 'lost' | undefined {
+	if (run.phase === 'starting') {
+		return undefined;
+	}
+	if (run.phase === 'stopping') {
+		// The lists were made after the stop was confirmed: the run never began, or its end was listed before.
+		const isConfirmed = run.stopConfirmedMs !== undefined && run.stopConfirmedMs <= sentMs;
+		return isConfirmed ? 'stopped' : undefined;
+	}
+	run.missingSinceMs ??= nowMs;
+	return nowMs - run.missingSinceMs > missingMs ? 'lost' : undefined;
+}
+
+/** Makes a run that is about to be started. */
+export function createHeldRun(task: TaskRunRef, job: JobStart, entryKey: string, nowMs: number): HeldRun {
+	const { needs, payload, estimateMs } = job;
+	return {
+		...task,
+		entryKey,
+		needs,
+		payload,
+		estimateMs,
+		phase: 'starting',
+		startedMs: nowMs,
+		percent: 0,
+		stopConfirmedMs: undefined,
+		missingSinceMs: undefined,
+	};
+}
+
 /** Table of runs. */
 export class HeldRuns {
 	private readonly _runs = new Map<string, HeldRun>();
--- a/src/dispatch/common/placement.ts
+++ b/src/dispatch/common/placement.ts
@@ -4,6 +4,7 @@
  */
 
 import { addNeeds, countFitting, type TaskNeeds, type WorkerState } from './dispatchMessages.js';
+import type { JobRequest } from './jobs.js';
 import type { HealthRecord } from './workerHealth.js';
 
 /** Expected ends within this factor of the earliest count as equal; estimates are no better. */
@@ -32,6 +33,12 @@
 	readonly excluded: ReadonlySet<string>;
 }
 
+/** What the tasks of a job ask of their workers. */
+export function toPlacement(request: JobRequest, excluded: ReadonlySet<string>): PlacementRequest {
+	const { pool, needs, estimateMs, requiredLabel, preferredLabel, awayFactor } = request;
+	return { pool, needs, estimateMs, requiredLabel, preferredLabel, awayFactor, excluded };
+}
+
 /** What is free at a worker, as far as its entry knows. */
 export function freeAt({ state, unseen }: WorkerView): TaskNeeds {
 	return addNeeds(addNeeds(state.capacity, state.used, -1), unseen, -1);
--- a/src/dispatch/common/taskWorker.ts
+++ b/src/dispatch/common/taskWorker.ts
@@ -1,12 +1,12 @@
 /** A worker that runs tasks under a lease, as an agent sees it. */
 
-import type { TaskNeeds, TaskRunRef } from './dispatchMessages.js';
+import type { RefusalReason, TaskNeeds, TaskRunRef } from './dispatchMessages.js';
 
 /** What a worker says of itself, at an interval and when it changes. */
 export interface WorkerAnnouncement {
 	readonly workerId: string;
 	/** Start of the worker's present life, in Unix milliseconds; it may begin another one under the same id. */
-	readonly bornAtMs: number;
+	readonly bornAtMs?: number | undefined;
 	readonly pool: string;
 	/** Where the worker takes orders. */
 	readonly address: string;
@@ -53,6 +53,21 @@
 export type OrderRefusal =
 	'fenced' | 'olderRun' | 'leasePast' | 'noRoom' | 'unhealthy' | 'invalid' | 'otherWorker';
 
+/** What an entry is told of a worker's refusal. */
+export function toRefusalReason(reason: OrderRefusal): RefusalReason {
+	switch (reason) {
+		case 'noRoom':
+		case 'olderRun':
+		case 'unhealthy':
+		case 'invalid':
+			return reason;
+		case 'fenced':
+		case 'leasePast':
+		case 'otherWorker':
+			return 'notAccepting';
+	}
+}
+
 /** Answer to a start. `unanswered`: the order may or may not be carried out, now or later. */
 export type StartAnswer =
 	| { readonly kind: 'started'; readonly clockMs: number }
--- a/src/dispatch/common/test/replayLoad.ts
+++ b/src/dispatch/common/test/replayLoad.ts
@@ -5,7 +5,8 @@
 
 import { Heap } from 'heap-js';
 import { SeededRandom } from '../../../base/common/random.js';
-import { DispatchCore, type IDispatchHost } from '../dispatchCore.js';
+import { DispatchCore } from '../dispatchCore.js';
+import type { IDispatchHost } from '../dispatchHost.js';
 import { EndCounts } from '../endCounts.js';
 import {
 	addNeeds,
--- a/src/dispatch/node/dispatcher.ts
+++ b/src/dispatch/node/dispatcher.ts
@@ -4,7 +4,8 @@
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import type { ILogService, LogFields } from '../../services/log/common/log.js';
 import type { IConnection, Message } from '../../services/transport/common/transport.js';
-import { DispatchCore, type DispatchCounters, type IDispatchHost } from '../common/dispatchCore.js';
+import { DispatchCore } from '../common/dispatchCore.js';
+import type { DispatchCounters, IDispatchHost } from '../common/dispatchHost.js';
 import type {
 	AgentReportMessage,
 	CancelJobMessage,
@@ -12,7 +13,7 @@
 	StopTasksMessage,
 } from '../common/dispatchMessages.js';
 import type { JobOutcome, JobRequest, JobState } from '../common/jobs.js';
-import { orphanGraceMs } from './taskExecutor.js';
+import { orphanGraceMs } from './orphanWatch.js';
 
 /** Time between looks at deadlines and workers while jobs are held. */
 const tickMs = 15;
