--- a/src/dispatch/common/jobAdmission.ts
+++ b/src/dispatch/common/jobAdmission.ts
@@ -53,7 +53,7 @@
 	for (const agent of pool) {
 		if (isEligible(agent, placement)) {
 			freeSlots += countFitting(request.needs, freeAt(agent));
-			busySlots += agent.state.used.cpuMillis / taskCpuMillis;
+			busySlots += (agent.state.used.cpuMillis + agent.unseen.cpuMillis) / taskCpuMillis;
 		}
 	}
 	const order = orderOf(job, nowMs);
--- /dev/null
+++ b/src/dispatch/common/test/paceMeter.test.ts
@@ -0,0 +1,31 @@
+import test from 'ava';
+import { PaceMeter } from '../paceMeter.js';
+
+test('the pace of a worker that stands still is seen within the window', (t) => {
+	const meter = new PaceMeter();
+	for (let nowMs = 0; nowMs <= 300; nowMs += 60) {
+		for (const key of ['a', 'b', 'c']) {
+			meter.observe(key, nowMs / 10, 1000, nowMs);
+		}
+	}
+	t.true(Math.abs((meter.paceAt(300) ?? 0) - 1) < 0.05);
+	for (let nowMs = 360; nowMs <= 600; nowMs += 60) {
+		for (const key of ['a', 'b', 'c']) {
+			meter.observe(key, 30, 1000, nowMs);
+		}
+	}
+	t.is(meter.paceAt(600), 0);
+});
+
+test('too little time of tasks gives no pace', (t) => {
+	const meter = new PaceMeter();
+	meter.observe('a', 0, 100, 0);
+	meter.observe('a', 10, 100, 60);
+	t.is(meter.paceAt(60), undefined);
+});
+
+test('one wrong estimate moves the usual speed little', (t) => {
+	const meter = new PaceMeter();
+	meter.noteDone('a', 10_000, 10);
+	t.true(meter.speed < 1.2);
+});
--- a/src/dispatch/node/holdLoop.ts
+++ b/src/dispatch/node/holdLoop.ts
@@ -78,7 +78,9 @@
 		while (!this._isDisposed) {
 			const { life, isBusy, acknowledgedEnd } = this._host.holdState();
 			const sentMs = clock.nowMs();
-			const leaseUntilMs = isBusy && lease.isClockKnown ? lease.renew(sentMs) : undefined;
+			// A renewal may take effect without an answer: a worker that falls silent gets no more of them, so that its runs end.
+			const mayRenew = isBusy && lease.isClockKnown && this._unansweredHolds < silentHolds;
+			const leaseUntilMs = mayRenew ? lease.renew(sentMs) : undefined;
 			const waitMs = isBusy ? busyWaitMs : idleWaitMs;
 			const answer = await taskWorker.hold({
 				...this._host.orderContext(),
--- /dev/null
+++ b/src/routing/common/test/routing.test.ts
@@ -0,0 +1,74 @@
+import test from 'ava';
+import { createPublished, decodeDocument, readSource } from '../../node/routingCodec.js';
+import { RouteTable } from '../routeTable.js';
+import { findRoutingFaults, type JobRoute, type RoutingDocument } from '../routingDocument.js';
+import { RoutingStateMachine } from '../routingStateMachine.js';
+
+function route(change: Partial<JobRoute> = {}): JobRoute {
+	return {
+		name: 'r',
+		host: 'a.example',
+		pathPrefix: '/x/',
+		pool: 'p',
+		timeoutMs: 1500,
+		objectiveMs: 60,
+		stretch: 1.6,
+		priority: 0,
+		maxAttempts: 2,
+		...change,
+	};
+}
+
+function document(version: number, routes: readonly JobRoute[] = [route()]): RoutingDocument {
+	return {
+		version,
+		routes,
+		pools: [{ name: 'p', enforcesCapacity: true }],
+		limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+	};
+}
+
+function publish(machine: RoutingStateMachine, version: number, content = `content ${version}`) {
+	const published = createPublished(document(version), Buffer.from(content), content);
+	return machine.execute({ kind: 'publish', published });
+}
+
+test('the highest version is in force, whatever order versions come in', (t) => {
+	const machine = new RoutingStateMachine();
+	t.is(publish(machine, 5).outcome, 'stored');
+	t.deepEqual(publish(machine, 3), { outcome: 'overtaken', version: 5 });
+	t.is(publish(machine, 9).outcome, 'stored');
+	t.is(machine.published?.version, 9);
+});
+
+test('the same again is acknowledged, other content under the version is not taken', (t) => {
+	const machine = new RoutingStateMachine();
+	publish(machine, 5);
+	t.is(publish(machine, 5).outcome, 'unchanged');
+	t.is(publish(machine, 5, 'other').outcome, 'contradicts');
+	t.is(machine.published === undefined ? '' : readSource(machine.published).toString(), 'content 5');
+});
+
+test('a snapshot restores the document and what the operator sent', (t) => {
+	const machine = new RoutingStateMachine();
+	publish(machine, 5);
+	const other = new RoutingStateMachine();
+	other.restoreSnapshot(machine.encodeSnapshot());
+	t.is(other.published === undefined ? 0 : decodeDocument(other.published.document).version, 5);
+	t.is(publish(other, 5).outcome, 'unchanged');
+});
+
+test('documents with contradictions are found out', (t) => {
+	t.deepEqual(findRoutingFaults(document(1)), []);
+	t.is(findRoutingFaults(document(1, [route({ pool: 'unknown' })])).length, 1);
+	t.is(findRoutingFaults(document(1, [route({ timeoutMs: 0 })])).length, 1);
+	t.is(findRoutingFaults(document(1, [route(), route({ name: 's', host: 'A.example' })])).length, 1);
+});
+
+test('the route with the longest prefix is found, and only at its host', (t) => {
+	const table = new RouteTable(document(1, [route(), route({ name: 'long', pathPrefix: '/x/y/' })]));
+	t.is(table.find('a.example', '/x/y/1')?.route.name, 'long');
+	t.deepEqual(table.find('A.example', '/x/1')?.rest, '1');
+	t.is(table.find('b.example', '/x/1'), undefined);
+	t.is(table.find('a.example', '/x'), undefined);
+});
