Explain failures: traces of jobs that end badly, bounded logs, metrics and the explain command

Cause: on call there were rejections and losses in the log, but not what was decided about a job that was late or given up. Ruled out: a line for each decision of each job (some 120 lines a second an entry at the sites' load).

--- /dev/null
+++ b/src/code/node/commands/explainCommand.ts
@@ -0,0 +1,25 @@
+/** `yuccaarch explain`: Follows one request through collected logs. */
+
+import { readFileSync } from 'node:fs';
+import { defineCommand } from 'citty';
+import { explainRequest } from '../../../operator/common/explainLog.js';
+
+/** The command's definition. */
+export const explainCommand = defineCommand({
+	meta: {
+		name: 'explain',
+		description:
+			'Prints what was decided about one request, from collected logs. ' +
+			'Example: yuccaarch explain 35bb3f19167681d8 entry.log agent.log',
+	},
+	args: { id: { type: 'positional', required: true, description: 'Id of the request.' } },
+	run: ({ args }) => {
+		const files = args._.slice(1);
+		process.stdout.write(
+			explainRequest(
+				args.id,
+				files.map((file) => readFileSync(file, 'utf8')),
+			),
+		);
+	},
+});
--- a/src/code/node/main.ts
+++ b/src/code/node/main.ts
@@ -19,6 +19,7 @@
 		member: () => import('./commands/memberCommand.js').then((module) => module.memberCommand),
 		drain: () => import('./commands/drainCommand.js').then((module) => module.drainCommand),
 		burn: () => import('./commands/burnCommand.js').then((module) => module.burnCommand),
+		explain: () => import('./commands/explainCommand.js').then((module) => module.explainCommand),
 		demo: () => import('./commands/demoCommand.js').then((module) => module.demoCommand),
 		bench: () => import('./commands/benchCommand.js').then((module) => module.benchCommand),
 		'bench-compare': () =>
--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -11,10 +11,10 @@
 	type TaskEndReport,
 	type TaskRunRef,
 } from './dispatchMessages.js';
-import { createCounters, type IDispatchHost } from './dispatchHost.js';
+import { createCounters, logWhenLate, type IDispatchHost } from './dispatchHost.js';
 import { noWorkersRetryMs, refusalOf, type JobRefusal } from './jobAdmission.js';
 import { orderOf } from './jobOrder.js';
-import { createJobRow, type JobRow, type TaskRow } from './jobTable.js';
+import { createJobRow, noteStep, type JobRow, type TaskRow } from './jobTable.js';
 import type { JobOutcome, JobRequest, JobState } from './jobs.js';
 import { TaskPlacer } from './taskPlacer.js';
 import { reviewHealth } from './workerHealth.js';
@@ -128,7 +128,8 @@
 			return false;
 		}
 		this.counters.cancelled += 1;
-		this._host.log('info', 'job.cancelled', { jobId, cause, hasStarted: job.hasStarted });
+		const waitedMs = Math.round(nowMs - job.arrivedMs);
+		this._host.log('info', 'job.cancelled', { jobId, cause, waitedMs, trace: job.trace });
 		this._end(job, { kind: 'abandoned' }, nowMs, true);
 		return true;
 	}
@@ -272,12 +273,9 @@
 			this.counters.abandoned += 1;
 			const { jobId, route } = request;
 			this._host.log('warn', 'job.abandoned', {
-				jobId,
-				route,
+				...{ jobId, route, waitingTasks: job.waitingCount, doneTasks: job.doneCount },
 				waitedMs: Math.round(nowMs - job.arrivedMs),
-				waitingTasks: job.waitingCount,
-				doneTasks: job.doneCount,
-				phases: job.tasks.map(({ phase, agentId }) => `${phase}@${agentId}`),
+				trace: job.trace,
 			});
 			this._end(job, { kind: 'abandoned' }, nowMs, true);
 		}
@@ -321,7 +319,7 @@
 		}
 		if (this._waiting.size > 0) {
 			const jobs = [...this._waiting].sort((left, right) => orderOf(left, nowMs) - orderOf(right, nowMs));
-			this.counters.startsSent += this._placer.place(jobs);
+			this.counters.startsSent += this._placer.place(jobs, nowMs);
 		}
 	}
 
@@ -335,6 +333,8 @@
 			return;
 		}
 		removeRun(agent, job, task);
+		const reason = report.reason === undefined ? '' : `:${report.reason}`;
+		noteStep(job, task, `${report.end}${reason}`, agent.agentId, nowMs);
 		switch (report.end) {
 			case 'done':
 				this._noteDone(job, task, nowMs);
@@ -357,6 +357,7 @@
 		job.doneCount += 1;
 		if (job.doneCount === job.tasks.length) {
 			this.counters.completed += 1;
+			logWhenLate(this._host, job, nowMs);
 			this._end(job, { kind: 'completed' }, nowMs, false);
 		}
 	}
@@ -381,6 +382,7 @@
 		}
 		task.phase = 'done';
 		this.counters.failed += 1;
+		this._host.log('warn', 'job.failed', { jobId, route, maxAttempts, trace: job.trace });
 		this._end(job, { kind: 'failed' }, nowMs, true);
 	}
 
--- a/src/dispatch/common/dispatchHost.ts
+++ b/src/dispatch/common/dispatchHost.ts
@@ -2,6 +2,7 @@
 
 import type { LogFields } from '../../services/log/common/log.js';
 import type { StartTasksMessage, StopTasksMessage } from './dispatchMessages.js';
+import type { JobRow } from './jobTable.js';
 
 /** What the core asks of its surroundings. */
 export interface IDispatchHost {
@@ -41,3 +42,13 @@
 		runsMoved: 0,
 	};
 }
+
+/** Says what was decided about a job that ended beyond its objective. */
+export function logWhenLate(host: IDispatchHost, job: JobRow, nowMs: number): void {
+	const { jobId, route, stretch, estimateMs, objectiveMs } = job.request;
+	const tookMs = Math.round(nowMs - job.arrivedMs);
+	const aimMs = Math.round(stretch * estimateMs + objectiveMs);
+	if (tookMs > aimMs) {
+		host.log('info', 'job.late', { jobId, route, tookMs, aimMs, trace: job.trace });
+	}
+}
--- a/src/dispatch/common/jobTable.ts
+++ b/src/dispatch/common/jobTable.ts
@@ -38,11 +38,16 @@
 	state: JobState;
 	/** Called with the outcome; several when the same request came more than once. */
 	readonly listeners: Set<(outcome: JobOutcome) => void>;
+	/** What was decided about the job, for the log when it ends badly. */
+	readonly trace: string[];
 }
 
 /** Factor on estimates for the speed of the workers that a job can count on. */
 const countedOnSpeed = 1;
 
+/** Steps that are kept of one job. */
+const maxTraceSteps = 60;
+
 /** Time kept free for the answer's way back. */
 const answerMs = 8;
 
@@ -61,9 +66,22 @@
 		hasStarted: false,
 		state: 'queued',
 		listeners: new Set(),
+		trace: [],
 	};
 }
 
+/**
+ * Notes a decision about a job: the time since its arrival, what happened, the task and its run, and the agent.
+ *
+ * @example
+ * noteStep(job, task, 'placed', 'agent-1', nowMs); // '+3 placed 0#1@agent-1'
+ */
+export function noteStep(job: JobRow, task: TaskRow, what: string, agentId: string, nowMs: number): void {
+	if (job.trace.length < maxTraceSteps) {
+		job.trace.push(`+${Math.round(nowMs - job.arrivedMs)} ${what} ${task.taskIndex}#${task.run}@${agentId}`);
+	}
+}
+
 function createTaskRow(taskIndex: number): TaskRow {
 	return {
 		taskIndex,
--- a/src/dispatch/common/taskPlacer.ts
+++ b/src/dispatch/common/taskPlacer.ts
@@ -2,7 +2,7 @@
 
 import { addRun, numberStarts, type AgentRow, type AgentTable } from './agentTable.js';
 import type { JobStart, StartTasksMessage } from './dispatchMessages.js';
-import type { JobRow, TaskRow } from './jobTable.js';
+import { noteStep, type JobRow, type TaskRow } from './jobTable.js';
 import { chooseWorker, isEligible, toPlacement, type PlacementRequest } from './placement.js';
 
 /** Weight of a newly placed task in the mean duration. */
@@ -33,7 +33,7 @@
 	 * @param jobs with waiting tasks, the most urgent first
 	 * @returns the number of starts that were sent
 	 */
-	place(jobs: readonly JobRow[]): number {
+	place(jobs: readonly JobRow[], nowMs: number): number {
 		const starts: Starts = new Map();
 		const blockedCpuMillis = new Map<string, number>();
 		for (const job of jobs) {
@@ -41,7 +41,7 @@
 			// Where a task of an earlier job found no room, one that is as large finds none either.
 			const place = `${pool}/${requiredLabel ?? ''}`;
 			const blocked = blockedCpuMillis.get(place) ?? Infinity;
-			if (needs.cpuMillis < blocked && !this._placeJob(job, starts)) {
+			if (needs.cpuMillis < blocked && !this._placeJob(job, starts, nowMs)) {
 				blockedCpuMillis.set(place, needs.cpuMillis);
 			}
 		}
@@ -53,7 +53,7 @@
 	}
 
 	/** Places a job's waiting tasks; returns whether none of them lacked room. */
-	private _placeJob(job: JobRow, starts: Starts): boolean {
+	private _placeJob(job: JobRow, starts: Starts, nowMs: number): boolean {
 		for (const task of job.tasks) {
 			if (task.phase !== 'waiting') {
 				continue;
@@ -62,6 +62,7 @@
 			const agent = chooseWorker(this._agents.all, placement, this._random);
 			if (agent !== undefined) {
 				this._start(job, task, agent, starts);
+				noteStep(job, task, 'placed', agent.agentId, nowMs);
 				continue;
 			}
 			if (task.excluded.size === 0) {
--- a/src/dispatch/common/test/replayLoad.test.ts
+++ b/src/dispatch/common/test/replayLoad.test.ts
@@ -4,7 +4,14 @@
  */
 
 import test from 'ava';
-import { replayLoad, siteKinds, siteWorkers, type KindOutcome, type ReplayOutcome, type ReplayPlan } from './replayLoad.js';
+import {
+	replayLoad,
+	siteKinds,
+	siteWorkers,
+	type KindOutcome,
+	type ReplayOutcome,
+	type ReplayPlan,
+} from './replayLoad.js';
 
 const base: Omit<ReplayPlan, 'seed'> = {
 	durationMs: 12_000,
--- a/src/replication/test/groupPlan.test.ts
+++ b/src/replication/test/groupPlan.test.ts
@@ -7,7 +7,10 @@
 	return { processId, address: `${processId}:1`, isVoter, diskId: `disk-${processId}` };
 }
 
-function health(change: Partial<GroupHealth>, silentForMs: Readonly<Record<string, number>> = {}): GroupHealth {
+function health(
+	change: Partial<GroupHealth>,
+	silentForMs: Readonly<Record<string, number>> = {},
+): GroupHealth {
 	return {
 		ownId: 'a',
 		members: [member('a'), member('b'), member('c')],
--- a/src/routing/node/routingKeeper.ts
+++ b/src/routing/node/routingKeeper.ts
@@ -155,6 +155,22 @@
 		return Ok(this._machine.published);
 	}
 
+	/** Levels for metrics. */
+	levels(): Readonly<Record<string, number>> {
+		const { role, term, commitIndex, members } = this._replicatedLog.status;
+		const ageMs = this._replicatedLog.ageMs();
+		return {
+			isLeader: role === 'leader' ? 1 : 0,
+			term,
+			commitIndex,
+			members: members.length,
+			version: this._machine.published?.version ?? 0,
+			entries: this._views.entries.length,
+			// An age without a bound has no number.
+			...(Number.isFinite(ageMs) ? { ageMs } : {}),
+		};
+	}
+
 	async drain(): Promise<void> {
 		await this._replicatedLog.transferLeadership(transferTimeoutMs);
 	}
