--- a/src/dispatch/common/knownWorker.ts
+++ b/src/dispatch/common/knownWorker.ts
@@ -20,20 +20,36 @@
 	private _announcedMs = -Infinity;
 	private _bornAtMs: number | undefined;
 	private _life = 0;
+	private _isPresumed = false;
 
 	/** What the worker said last; `undefined` while it is unknown. */
 	get announcement(): WorkerAnnouncement | undefined {
 		return this._announcement;
 	}
 
+	/** Id for orders that are meant for this worker alone; `undefined` before it has said it. */
+	get workerId(): string | undefined {
+		return this._isPresumed ? undefined : this._announcement?.workerId;
+	}
+
 	/** Changes with each worker and each of its lives; what was begun before is void. */
 	get life(): number {
 		return this._life;
 	}
 
+	/**
+	 * Takes what is to be expected of the worker at the agent's address before it has said anything. The worker itself
+	 * refuses what does not fit, so a wrong guess costs a refused start.
+	 */
+	presume(announcement: WorkerAnnouncement, nowMs: number): void {
+		this._announcement = announcement;
+		this._announcedMs = nowMs;
+		this._isPresumed = true;
+	}
+
 	/** Compares an announcement with what is known. */
 	judge(announcement: WorkerAnnouncement): AnnouncementNews {
-		const known = this._announcement;
+		const known = this._isPresumed ? undefined : this._announcement;
 		if (known?.workerId === announcement.workerId && !this._isOther(announcement.bornAtMs)) {
 			return announcement.sequence > known.sequence ? 'renewed' : 'late';
 		}
@@ -47,6 +63,7 @@
 	take(announcement: WorkerAnnouncement, nowMs: number): void {
 		this._announcement = announcement;
 		this._announcedMs = nowMs;
+		this._isPresumed = false;
 		this._bornAtMs = announcement.bornAtMs ?? this._bornAtMs;
 	}
 
@@ -61,6 +78,7 @@
 	lose(): void {
 		this._life += 1;
 		this._announcement = undefined;
+		this._isPresumed = false;
 		this._bornAtMs = undefined;
 	}
 
--- a/src/dispatch/node/taskExecutor.ts
+++ b/src/dispatch/node/taskExecutor.ts
@@ -57,6 +57,8 @@
 	readonly workerAddress: string;
 	/** First fencing token; higher than that of any earlier life of the agent. */
 	readonly fencingToken: number;
+	/** What to expect of the worker until it announces itself; nothing when absent. */
+	readonly presumed?: WorkerAnnouncement | undefined;
 	readonly clock: IClock;
 	readonly log: ILogService;
 }
@@ -109,6 +111,9 @@
 		this._holds = this._register(
 			new HoldLoop(this, { ..._options, taskWorker: _taskWorker, lease: this._lease }),
 		);
+		if (_options.presumed !== undefined) {
+			this._worker.presume(_options.presumed, this._startedAtMs);
+		}
 		this._holds.start();
 	}
 
@@ -150,7 +155,7 @@
 	private _logAnnouncement(announcement: WorkerAnnouncement): void {
 		const { workerId, pool, address, bornAtMs, capacity, labels, isLeaving, remainingMs } = announcement;
 		const known = this._worker.announcement;
-		if (known === undefined) {
+		if (this._worker.workerId === undefined) {
 			const { cpuMillis } = capacity;
 			this._options.log.info('worker.announced', { workerId, pool, address, bornAtMs, cpuMillis, labels });
 		}
@@ -373,10 +378,8 @@
 
 	respondingChanged(isResponding: boolean, message: string): void {
 		const fields = { workerId: this._worker.announcement?.workerId, message, runs: this._runs.size };
-		this._options.log[isResponding ? 'info' : 'warn'](
-			isResponding ? 'worker.responding' : 'worker.silent',
-			fields,
-		);
+		const event = isResponding ? 'worker.responding' : 'worker.silent';
+		this._options.log[isResponding ? 'info' : 'warn'](event, fields);
 		this._stateChanged();
 	}
 
@@ -452,11 +455,8 @@
 	/** Forgets the worker; it must announce itself again. Its runs ended with it. */
 	private _loseWorker(cause: 'left' | 'otherWorker' | 'reborn'): void {
 		const { announcement } = this._worker;
-		this._options.log.warn('worker.lost', {
-			workerId: announcement?.workerId,
-			cause,
-			runs: this._runs.size,
-		});
+		const fields = { workerId: announcement?.workerId, cause, runs: this._runs.size };
+		this._options.log.warn('worker.lost', fields);
 		this._worker.lose();
 		this._acknowledgedEnd = 0;
 		this._lease.reset();
@@ -469,7 +469,7 @@
 	orderContext(): OrderContext {
 		return {
 			address: this._worker.announcement?.address ?? this._options.workerAddress,
-			workerId: this._worker.announcement?.workerId,
+			workerId: this._worker.workerId,
 			fencingToken: this._lease.fencingToken,
 		};
 	}
--- a/src/dispatch/node/test/taskExecutor.test.ts
+++ b/src/dispatch/node/test/taskExecutor.test.ts
@@ -7,6 +7,7 @@
 import { monotonicClock } from '../../../base/common/clock.js';
 import { nullLogService } from '../../../services/log/common/log.js';
 import type { AgentReportMessage, TaskEndReport, WorkerState } from '../../common/dispatchMessages.js';
+import type { WorkerAnnouncement } from '../../common/taskWorker.js';
 import { leaseMs } from '../../common/workerLease.js';
 import { orphanGraceMs } from '../orphanWatch.js';
 import { TaskExecutor } from '../taskExecutor.js';
@@ -15,13 +16,29 @@
 const needs = { cpuMillis: 4000, memoryMb: 100, accelerators: 0 };
 const waitLimitMs = 5000;
 
+const announcement: WorkerAnnouncement = {
+	workerId: 'w-1',
+	bornAtMs: 1000,
+	pool: 'pool',
+	address: '127.0.0.1:1',
+	dataCentre: 'a',
+	sequence: 0,
+	isLeaving: false,
+	capacity: { cpuMillis: 8000, memoryMb: 1000, accelerators: 0 },
+	labels: [],
+};
+
 class Harness {
 	readonly worker = new FakeTaskWorker(monotonicClock);
 	readonly reports: { readonly linkId: number; readonly report: AgentReportMessage }[] = [];
 	readonly executor: TaskExecutor;
 	private _sequence = 0;
 
-	constructor(t: ExecutionContext, prepare: (worker: FakeTaskWorker) => void = () => undefined) {
+	constructor(
+		t: ExecutionContext,
+		prepare: (worker: FakeTaskWorker) => void = () => undefined,
+		presumed?: WorkerAnnouncement,
+	) {
 		prepare(this.worker);
 		this.executor = new TaskExecutor(
 			{
@@ -30,7 +47,13 @@
 				},
 			},
 			this.worker,
-			{ workerAddress: '127.0.0.1:1', fencingToken: 100, clock: monotonicClock, log: nullLogService },
+			{
+				workerAddress: '127.0.0.1:1',
+				fencingToken: 100,
+				presumed,
+				clock: monotonicClock,
+				log: nullLogService,
+			},
 		);
 		t.teardown(() => {
 			this.executor.dispose();
@@ -39,18 +62,7 @@
 
 	announce(change: object = {}): void {
 		this._sequence += 1;
-		this.executor.takeAnnouncement({
-			workerId: 'w-1',
-			bornAtMs: 1000,
-			pool: 'pool',
-			address: '127.0.0.1:1',
-			dataCentre: 'a',
-			sequence: this._sequence,
-			isLeaving: false,
-			capacity: { cpuMillis: 8000, memoryMb: 1000, accelerators: 0 },
-			labels: [],
-			...change,
-		});
+		this.executor.takeAnnouncement({ ...announcement, sequence: this._sequence, ...change });
 	}
 
 	async ready(): Promise<void> {
@@ -266,3 +278,18 @@
 	await drained;
 	t.like(harness.ends()[0], { end: 'done' });
 });
+
+test('a new agent takes tasks before its worker has announced itself, and keeps them when it does', async (t) => {
+	const presumed = { ...announcement, workerId: '', bornAtMs: undefined };
+	const harness = new Harness(t, undefined, presumed);
+	harness.executor.entryConnected(1, 'entry-1', 'life-1');
+	await until(() => harness.state?.isAccepting === true);
+	harness.start(1, 'job');
+	await until(() => harness.worker.running.size === 1);
+	t.is(harness.worker.starts[0]?.workerId, undefined);
+	harness.announce();
+	harness.start(1, 'next');
+	await until(() => harness.worker.running.size === 2);
+	t.is(harness.worker.starts[1]?.workerId, 'w-1');
+	t.deepEqual(harness.ends(), []);
+});
