Tell the end of a void start at once, also at a busy worker

The lists of a busy worker nearly always hold an end, and lists with an end were not trusted to be whole.

--- a/src/burn/common/burnReport.ts
+++ b/src/burn/common/burnReport.ts
@@ -220,7 +220,7 @@
 		const promise = objective === 'onTime' ? 'answers on time' : 'whole answers';
 		const message =
 			`Route "${route}" burns its budget of ${promise} at least ${raised.rate} times too fast ` +
-			`over ${raised.short} and ${raised.long}; see docs/OPERATING.md for what to do.`;
+			`over ${raised.short} and ${raised.long}; see docs/OPERATIONS.md for what to do.`;
 		return [{ kind: raised.kind, objective, message }];
 	});
 }
--- a/src/dispatch/common/taskWorker.ts
+++ b/src/dispatch/common/taskWorker.ts
@@ -102,6 +102,8 @@
 			readonly bornAtMs: number | undefined;
 			readonly running: readonly RunningTask[];
 			readonly ended: readonly EndedTask[];
+			/** Whether {@link ended} holds every end that was not acknowledged; a worker may list them in parts. */
+			readonly areEndsWhole: boolean;
 	  }
 	| { readonly kind: 'refused'; readonly reason: OrderRefusal }
 	| { readonly kind: 'unanswered'; readonly message: string };
--- a/src/dispatch/node/taskExecutor.ts
+++ b/src/dispatch/node/taskExecutor.ts
@@ -351,7 +351,7 @@
 	}
 
 	/** Takes what the worker lists. */
-	takeLists({ bornAtMs, clockMs, ended, running }: HeldLists, sentMs: number): void {
+	takeLists({ bornAtMs, clockMs, ended, areEndsWhole, running }: HeldLists, sentMs: number): void {
 		if (this._worker.isOtherLife(bornAtMs)) {
 			this._loseWorker('reborn');
 			return;
@@ -360,7 +360,7 @@
 		for (const end of ended) {
 			this._takeEnd(end);
 		}
-		this._takeRunning(running, sentMs, ended.length === 0);
+		this._takeRunning(running, sentMs, areEndsWhole);
 	}
 
 	workerReplaced(): void {
--- a/src/dispatch/node/test/fakeTaskWorker.ts
+++ b/src/dispatch/node/test/fakeTaskWorker.ts
@@ -31,6 +31,8 @@
 	bornAtMs: number | undefined = 1000;
 	acknowledgedEnd = 0;
 	leaseUntilMs = 0;
+	/** Called before each hold is answered. */
+	onHold: () => void = () => undefined;
 	private readonly _voided = new Map<string, number>();
 
 	constructor(private readonly _clock: IClock) {
@@ -88,6 +90,8 @@
 		}
 		this.leaseUntilMs = Math.max(this.leaseUntilMs, order.leaseUntilMs ?? 0);
 		this.acknowledgedEnd = order.acknowledgedEnd;
+		this.onHold();
+		await new Promise((resolve) => setTimeout(resolve, 1));
 		const untilMs = this._clock.nowMs() + Math.min(order.waitMs, 20);
 		while (this._clock.nowMs() < untilMs && this._news(order).length === 0) {
 			await new Promise((resolve) => setTimeout(resolve, pollMs));
@@ -98,6 +102,7 @@
 			bornAtMs: this.bornAtMs,
 			running: [...this.running.values()],
 			ended: this._news(order),
+			areEndsWhole: true,
 		};
 	}
 
--- a/src/dispatch/node/test/taskExecutor.test.ts
+++ b/src/dispatch/node/test/taskExecutor.test.ts
@@ -293,3 +293,20 @@
 	t.is(harness.worker.starts[1]?.workerId, 'w-1');
 	t.deepEqual(harness.ends(), []);
 });
+
+test('a void start is told at once by a busy worker, whose every answer lists an end', async (t) => {
+	const harness = new Harness(t);
+	await harness.ready();
+	let number = 0;
+	harness.worker.onHold = () => {
+		number += 1;
+		harness.worker.end({ jobId: `other-${number}`, taskIndex: 0, run: 1 }, 'done');
+	};
+	harness.worker.startFate = 'lost';
+	harness.start(1, 'job');
+	await until(() => harness.worker.stops.length > 0);
+	const stoppedAtMs = performance.now();
+	await until(() => harness.ends().length === 1);
+	t.like(harness.ends()[0], { jobId: 'job', end: 'stopped' });
+	t.true(performance.now() - stoppedAtMs < 500);
+});
