--- a/src/dispatch/node/dispatcher.ts
+++ b/src/dispatch/node/dispatcher.ts
@@ -5,7 +5,7 @@
 import type { ILogService, LogFields } from '../../services/log/common/log.js';
 import type { IConnection, Message } from '../../services/transport/common/transport.js';
 import { DispatchCore } from '../common/dispatchCore.js';
-import type { DispatchCounters, IDispatchHost } from '../common/dispatchHost.js';
+import type { IDispatchHost } from '../common/dispatchHost.js';
 import type {
 	AgentReportMessage,
 	CancelJobMessage,
@@ -13,6 +13,7 @@
 	StopTasksMessage,
 } from '../common/dispatchMessages.js';
 import type { JobOutcome, JobRequest, JobState } from '../common/jobs.js';
+import { JobTimes } from './jobTimes.js';
 import { orphanGraceMs } from './orphanWatch.js';
 
 /** Time between looks at deadlines and workers while jobs are held. */
@@ -37,6 +38,7 @@
 export class Dispatcher extends Disposable implements IDispatchHost {
 	private readonly _core: DispatchCore;
 	private readonly _connections = new Map<number, IConnection>();
+	private readonly _times = new JobTimes();
 	private _nextLinkId = 1;
 	private _isScheduled = false;
 
@@ -68,14 +70,21 @@
 		return this._core.workerCount;
 	}
 
-	/** What has happened since the start. */
-	get counters(): DispatchCounters {
-		return this._core.counters;
+	/** What has happened since the start, and the times of answered jobs. */
+	get counters(): Readonly<Record<string, number>> {
+		return { ...this._core.counters, ...this._times.levels() };
 	}
 
 	/** Takes a job; see {@link DispatchCore.submit}. */
 	submit(request: JobRequest, listener: (outcome: JobOutcome) => void): () => void {
-		const leave = this._core.submit(request, listener, this._nowMs());
+		const arrivedMs = this._nowMs();
+		const answer = (outcome: JobOutcome): void => {
+			if (outcome.kind === 'completed' || outcome.kind === 'failed') {
+				this._times.note(this._nowMs() - arrivedMs);
+			}
+			listener(outcome);
+		};
+		const leave = this._core.submit(request, answer, arrivedMs);
 		this._scheduleSoon();
 		return () => {
 			leave();
