--- a/src/dispatch/common/dispatchMessages.ts
+++ b/src/dispatch/common/dispatchMessages.ts
@@ -79,8 +79,7 @@
 	readonly pool: string;
 	readonly labels: readonly string[];
 	readonly capacity: TaskNeeds;
-	/** Whether the capacity is a guess, since the worker has not announced itself yet; only a worker that refuses what does
-	 * not fit may be used by it. */
+	/** Whether the capacity is a guess, since the worker has not announced itself yet. */
 	readonly isCapacityGuessed: boolean;
 	/** Taken by all tasks that run, start or are being stopped there. */
 	readonly used: TaskNeeds;
