--- a/src/dispatch/common/admission.ts
+++ b/src/dispatch/common/admission.ts
@@ -4,8 +4,6 @@
  * rest does not wait behind it.
  */
 
-/** Share of the slack that a forecast may use up; forecasts are rough. */
-const slackShare = 1;
 /** Bounds of the time after which a refused caller may come back. */
 const minRetryAfterMs = 1000;
 const maxRetryAfterMs = 5000;
@@ -48,7 +46,7 @@
 	// Running tasks end at an even rate, so each frees its room after a mean duration.
 	const releasesPerMs = busySlots / Math.max(1, meanTaskMs);
 	const waitMs = missing <= 0 ? 0 : releasesPerMs > 0 ? missing / releasesPerMs : Infinity;
-	const isTaken = waitMs <= slackMs * slackShare;
+	const isTaken = waitMs <= slackMs;
 	const spreadMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, 2 * waitMs));
 	return { isTaken, waitMs, retryAfterMs: minRetryAfterMs + random() * spreadMs };
 }
--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -223,7 +223,7 @@
 	private _refusalOf(job: JobRow, pool: readonly AgentRow[], nowMs: number): JobRefusal | undefined {
 		return refusalOf(job, {
 			pool,
-			waiting: [...this._waiting],
+			waiting: this._waiting,
 			entryCount: this._host.entryCount(),
 			meanTaskMs: this._placer.meanTaskMs,
 			nowMs,
--- a/src/dispatch/common/jobAdmission.ts
+++ b/src/dispatch/common/jobAdmission.ts
@@ -23,7 +23,7 @@
 export interface AdmissionContext {
 	/** Connected agents of the job's pool. */
 	readonly pool: readonly AgentRow[];
-	readonly waiting: readonly JobRow[];
+	readonly waiting: Iterable<JobRow>;
 	readonly entryCount: number;
 	readonly meanTaskMs: number;
 	readonly nowMs: number;
--- a/src/dispatch/common/jobTable.ts
+++ b/src/dispatch/common/jobTable.ts
@@ -42,9 +42,6 @@
 	readonly trace: string[];
 }
 
-/** Factor on estimates for the speed of the workers that a job can count on. */
-const countedOnSpeed = 1;
-
 /** Steps that are kept of one job. */
 const maxTraceSteps = 60;
 
@@ -54,7 +51,7 @@
 /** Makes the row of a job that has just arrived. */
 export function createJobRow(request: JobRequest, nowMs: number): JobRow {
 	const objectiveMs = request.stretch * request.estimateMs + request.objectiveMs;
-	const latestStartMs = nowMs + objectiveMs - request.estimateMs / countedOnSpeed - answerMs;
+	const latestStartMs = nowMs + objectiveMs - request.estimateMs - answerMs;
 	return {
 		request,
 		arrivedMs: nowMs,
