Forget an entry or keeper that is gone for good

Cause: entries pass on every entry that they know of, and each view renewed it at the receiver, so that two entries kept a third known for ever and dialled it once a second. The same held for keepers.

Change: a table of members with the time since anybody was in touch with each; that age travels in views, a word of a member renews it only up to its age, and views are sent again each 15 s (a quarter of the time after which a member is forgotten) instead of being renewed by the receiver.

Ruled out: renewing only what the sender is connected to, told as a flag. A view is sent when members change, so a connection that comes later would not be told.

--- a/src/cluster/common/clusterMessages.ts
+++ b/src/cluster/common/clusterMessages.ts
@@ -8,11 +8,23 @@
 	readonly address: string;
 }
 
+/** A keeper that one process knows of. */
+export interface KnownKeeper {
+	readonly address: string;
+	/** Time since anybody was last in touch with it, as far as the sender has heard. */
+	readonly silentMs: number;
+}
+
+/** An entry that one process knows of. */
+export interface KnownEntry extends EntryAddress {
+	/** Time since anybody was last in touch with it, as far as the sender has heard. */
+	readonly silentMs: number;
+}
+
 /** What one process knows of the others. */
 export interface ClusterView {
-	/** Addresses of the keepers. */
-	readonly keepers: readonly string[];
-	readonly entries: readonly EntryAddress[];
+	readonly keepers: readonly KnownKeeper[];
+	readonly entries: readonly KnownEntry[];
 }
 
 /** First message of a subscriber. */
@@ -22,7 +34,7 @@
 	readonly address?: string | undefined;
 }
 
-/** The sender's view, whenever it changes. */
+/** The sender's view: whenever somebody is new or forgotten, and at times so that the others know who is still there. */
 export interface ViewMessage extends Message, ClusterView {
 	readonly kind: 'clusterView';
 }
--- a/src/cluster/node/clusterClient.ts
+++ b/src/cluster/node/clusterClient.ts
@@ -8,9 +8,8 @@
 import type { ConnectionOptions } from '../../services/transport/node/frameConnection.js';
 import { FrameConnector } from '../../services/transport/node/frameConnector.js';
 import type { ClusterView, EntryAddress, ToSubscriberMessage } from '../common/clusterMessages.js';
+import { MemberTable } from '../common/memberTable.js';
 
-/** Time for which a process that no view names any more is still connected to; it may only be cut off. */
-const forgetAfterMs = 60_000;
 /** Time between looks at what can be forgotten, and what must be fetched again. */
 const sweepIntervalMs = 250;
 /** Time that a fetch of the routing may take before another server is asked. */
@@ -30,16 +29,11 @@
 interface Server {
 	readonly address: string;
 	readonly connector: FrameConnector;
-	view: ClusterView | undefined;
 	/** Version that is in force at the server; 0 while unknown. */
 	version: number;
 	fetchSentMs: number;
 }
 
-interface KnownEntry extends EntryAddress {
-	seenMs: number;
-}
-
 /** Keeps a connection to each known server of views. */
 export class ClusterClient extends Disposable {
 	private readonly _onDidChangeView = this._register(new Emitter<undefined>());
@@ -49,8 +43,7 @@
 	readonly onDidChangeRouting = this._onDidChangeRouting.event;
 
 	private readonly _servers = new Map<string, Server>();
-	private readonly _keepersSeenMs = new Map<string, number>();
-	private readonly _entries = new Map<string, KnownEntry>();
+	private readonly _members = new MemberTable();
 	private _seeds: readonly string[] = [];
 	private _routing: { readonly version: number; readonly document: Uint8Array } | undefined;
 
@@ -76,12 +69,17 @@
 
 	/** Addresses of keepers: the seeds, and what servers tell. */
 	get keepers(): readonly string[] {
-		return [...new Set([...this._seeds, ...this._keepersSeenMs.keys()])];
+		return [...new Set([...this._seeds, ...this._members.keepers])];
 	}
 
-	/** Entries that some server tells of, or told of lately. */
+	/** Entries that somebody was in touch with lately, without this process. */
 	get entries(): readonly EntryAddress[] {
-		return [...this._entries.values()].map(({ processId, address }) => ({ processId, address }));
+		return this._members.entries;
+	}
+
+	/** What this process knows of the others. */
+	view(): ClusterView {
+		return this._members.view(this._options.clock.nowMs());
 	}
 
 	/** Sends a message to every entry that is connected. */
@@ -102,30 +100,16 @@
 	/** Replaces the seed addresses. */
 	setSeeds(seeds: readonly string[]): void {
 		this._seeds = seeds;
-		this._connect();
+		// Whoever set the seeds knows of these keepers now.
+		this.takeView({ keepers: seeds.map((address) => ({ address, silentMs: 0 })), entries: [] });
 	}
 
-	/** Takes the view of a process that is connected in another way. */
-	takeView(view: ClusterView): void {
-		this._noteView(view);
+	/** Takes the view of another process. */
+	takeView({ keepers, entries }: ClusterView): void {
+		const others = entries.filter(({ address }) => address !== this._options.ownAddress);
+		const isNew = this._members.take({ keepers, entries: others }, this._options.clock.nowMs());
 		this._connect();
-	}
-
-	private _noteView(view: ClusterView): void {
-		const nowMs = this._options.clock.nowMs();
-		let hasChanged = false;
-		for (const keeper of view.keepers) {
-			hasChanged ||= !this._keepersSeenMs.has(keeper);
-			this._keepersSeenMs.set(keeper, nowMs);
-		}
-		for (const entry of view.entries) {
-			if (entry.address === this._options.ownAddress) {
-				continue;
-			}
-			hasChanged ||= !this._entries.has(entry.address);
-			this._entries.set(entry.address, { ...entry, seenMs: nowMs });
-		}
-		if (hasChanged) {
+		if (isNew) {
 			this._onDidChangeView.fire(undefined);
 		}
 	}
@@ -136,7 +120,7 @@
 		}
 		const wanted = new Set(this.keepers);
 		if (this._options.followsRouting) {
-			for (const { address } of this._entries.values()) {
+			for (const { address } of this.entries) {
 				wanted.add(address);
 			}
 		}
@@ -156,7 +140,7 @@
 	private _open(address: string): Server {
 		const { connection: options, log, ownAddress } = this._options;
 		const connector = new FrameConnector(address, options);
-		const server: Server = { address, connector, view: undefined, version: 0, fetchSentMs: -Infinity };
+		const server: Server = { address, connector, version: 0, fetchSentMs: -Infinity };
 		connector.onDidConnect((connection) => {
 			log.info('cluster.serverConnected', { address, role: connection.peer.role });
 			connection.onDidReceive((message) => {
@@ -164,7 +148,6 @@
 			});
 			connection.onDidClose((reason) => {
 				server.version = 0;
-				server.view = undefined;
 				log.warn('cluster.serverLost', { address, reason });
 			});
 			connection.send({ kind: 'subscribeView', address: ownAddress } as Message);
@@ -176,9 +159,7 @@
 		const message = received as ToSubscriberMessage;
 		switch (message.kind) {
 			case 'clusterView':
-				server.view = { keepers: message.keepers, entries: message.entries };
-				this._noteView(server.view);
-				this._connect();
+				this.takeView(message);
 				return;
 			case 'routingVersion':
 				server.version = message.version;
@@ -214,44 +195,19 @@
 		this._onDidChangeRouting.fire(undefined);
 	}
 
-	/** Fetches again what was not answered, and forgets processes that no server names any more. */
+	/** Fetches again what was not answered, and forgets processes that nobody was in touch with for long. */
 	private _sweep(): void {
 		const nowMs = this._options.clock.nowMs();
 		for (const server of this._servers.values()) {
 			const { connection } = server.connector;
 			if (connection !== undefined) {
+				this._members.touch(server.address, nowMs);
 				this._fetchWhenBehind(server, connection);
 			}
-			this._refresh(server.view, nowMs);
-		}
-		let hasChanged = false;
-		for (const [address, entry] of this._entries) {
-			if (nowMs - entry.seenMs > forgetAfterMs) {
-				this._entries.delete(address);
-				hasChanged = true;
-			}
-		}
-		for (const [address, seenMs] of this._keepersSeenMs) {
-			if (nowMs - seenMs > forgetAfterMs) {
-				this._keepersSeenMs.delete(address);
-				hasChanged = true;
-			}
 		}
-		if (hasChanged) {
+		if (this._members.forget(nowMs)) {
 			this._connect();
 			this._onDidChangeView.fire(undefined);
 		}
 	}
-
-	private _refresh(view: ClusterView | undefined, nowMs: number): void {
-		for (const keeper of view?.keepers ?? []) {
-			this._keepersSeenMs.set(keeper, nowMs);
-		}
-		for (const { address } of view?.entries ?? []) {
-			const known = this._entries.get(address);
-			if (known !== undefined) {
-				known.seenMs = nowMs;
-			}
-		}
-	}
 }
--- a/src/cluster/node/viewServer.ts
+++ b/src/cluster/node/viewServer.ts
@@ -5,6 +5,10 @@
 import { Emitter } from '../../base/common/event.js';
 import type { IConnection, Message } from '../../services/transport/common/transport.js';
 import type { ClusterView, EntryAddress, FromSubscriberMessage } from '../common/clusterMessages.js';
+import { forgetAfterMs } from '../common/memberTable.js';
+
+/** Time between views that only tell who is still there; three may be lost before a process is forgotten. */
+const viewIntervalMs = forgetAfterMs / 4;
 
 /** Where a server gets what it tells. */
 export interface IViewSource {
@@ -18,7 +22,8 @@
 interface Subscriber {
 	readonly connection: IConnection;
 	entry: EntryAddress | undefined;
-	toldView: string;
+	/** Addresses that it was told of. */
+	toldAddresses: string;
 }
 
 /** Serves every connection that it is given until the connection closes. */
@@ -41,8 +46,15 @@
 				this._tellVersions();
 			}),
 		);
+		const timer = setInterval(() => {
+			const view = this._source.view();
+			for (const { connection } of this._subscribers) {
+				connection.send({ kind: 'clusterView', ...view });
+			}
+		}, viewIntervalMs);
 		this._register(
 			toDisposable(() => {
+				clearInterval(timer);
 				this._subscribers.clear();
 			}),
 		);
@@ -55,7 +67,7 @@
 
 	/** Serves a connection. */
 	accept(connection: IConnection): void {
-		const subscriber: Subscriber = { connection, entry: undefined, toldView: '' };
+		const subscriber: Subscriber = { connection, entry: undefined, toldAddresses: '' };
 		this._subscribers.add(subscriber);
 		connection.onDidReceive((message) => {
 			this._receive(subscriber, message);
@@ -94,11 +106,11 @@
 	}
 
 	private _tellView(subscriber: Subscriber, view: ClusterView): void {
-		const text = JSON.stringify(view);
-		if (subscriber.toldView === text) {
+		const addresses = JSON.stringify([view.keepers, view.entries].map((members) => members.map(addressOf)));
+		if (subscriber.toldAddresses === addresses) {
 			return;
 		}
-		subscriber.toldView = text;
+		subscriber.toldAddresses = addresses;
 		subscriber.connection.send({ kind: 'clusterView', ...view });
 	}
 
@@ -115,3 +127,7 @@
 		}
 	}
 }
+
+function addressOf({ address }: { readonly address: string }): string {
+	return address;
+}
--- a/src/routing/node/routingKeeper.ts
+++ b/src/routing/node/routingKeeper.ts
@@ -119,7 +119,10 @@
 	view(): ClusterView {
 		const { members } = this._replicatedLog.status;
 		const listed = members.length > 0 ? members : this._options.initialMembers;
-		return { keepers: listed.map(({ address }) => address), entries: this._views.entries };
+		return {
+			keepers: listed.map(({ address }) => ({ address, silentMs: 0 })),
+			entries: this._views.entries.map((entry) => ({ ...entry, silentMs: 0 })),
+		};
 	}
 
 	routing(): { readonly version: number; readonly document: Uint8Array } | undefined {
