--- a/src/replication/common/replicaState.ts
+++ b/src/replication/common/replicaState.ts
@@ -27,6 +27,9 @@
 	readonly createGroupId: () => string;
 }
 
+/** Share of the election timeout in a life that has heard no leader; some heartbeats of one that lives fit into it. */
+const firstElectionShare = 0.25;
+
 /** Append messages on the way to one peer; more would only wait at a peer that is slower than the leader. */
 export const maxInflightAppends = 8;
 
@@ -191,7 +194,7 @@
 export function createReplicaState(start: ReplicaStart): ReplicaState {
 	const log = new EntryLog(start.snapshot, start.entries);
 	const isAlone = log.members.length === 1;
-	const patienceMs = isAlone ? 0 : start.config.electionTimeoutMs * (1 + start.config.random());
+	const patienceMs = isAlone ? 0 : electionPatienceMs(start.config, false);
 	return {
 		config: start.config,
 		hard: start.hard,
@@ -217,3 +220,13 @@
 export function otherMembers(state: ReplicaState): readonly ReplicaMember[] {
 	return state.log.members.filter((member) => member.processId !== state.config.processId);
 }
+
+/**
+ * Time that a keeper waits for a leader before it stands, spread so that voters seldom stand together. It is short in a
+ * life that has heard no leader yet: after a loss of all power nobody leads, and where somebody does, the others
+ * refuse the pre-vote.
+ */
+export function electionPatienceMs(config: ReplicaConfig, hasHeardLeader: boolean): number {
+	const timeoutMs = config.electionTimeoutMs * (hasHeardLeader ? 1 : firstElectionShare);
+	return timeoutMs * (1 + config.random());
+}
--- a/src/replication/common/roles.ts
+++ b/src/replication/common/roles.ts
@@ -1,7 +1,7 @@
 /** Changes of a keeper's role that several systems cause. */
 
 import { keepLeaderFreshness } from './freshness.js';
-import type { ReplicaState } from './replicaState.js';
+import { electionPatienceMs, type ReplicaState } from './replicaState.js';
 import type { StepContext } from './stepContext.js';
 
 /** Becomes a follower, in a newer term when one is given. */
@@ -33,6 +33,5 @@
 
 /** Spreads the deadlines, so that voters seldom stand at the same time. */
 export function resetElectionDeadline(state: ReplicaState, nowMs: number): void {
-	const { electionTimeoutMs, random } = state.config;
-	state.electionDeadlineMs = nowMs + electionTimeoutMs * (1 + random());
+	state.electionDeadlineMs = nowMs + electionPatienceMs(state.config, state.leaderContactMs > -Infinity);
 }
--- a/src/replication/test/replicaRules.test.ts
+++ b/src/replication/test/replicaRules.test.ts
@@ -217,3 +217,21 @@
 	run(state, { kind: 'tick' });
 	t.is(state.role, 'follower');
 });
+
+test('a keeper that has heard no leader since its start stands soon, one that has waits the whole timeout', (t) => {
+	const started = createKeeper([1, 1], 1);
+	nowMs = 0.25 * 300 * 1.5;
+	t.true(asksForPreVotes(run(started, { kind: 'tick' })));
+
+	const following = createKeeper([1, 1], 1);
+	const heartbeat = { kind: 'append', prevIndex: 3, prevTerm: 1, entries: [], commitIndex: 1 } as const;
+	receive(following, 'keeper-1', heartbeat, 1);
+	nowMs = 290;
+	t.false(asksForPreVotes(run(following, { kind: 'tick' })));
+	nowMs = 300 * 1.5;
+	t.true(asksForPreVotes(run(following, { kind: 'tick' })));
+});
+
+function asksForPreVotes(outputs: readonly ReplicaOutput[]): boolean {
+	return outputs.some((output) => output.kind === 'send' && output.message.kind === 'preVote');
+}
--- a/src/services/settings/common/describeIssue.ts
+++ b/src/services/settings/common/describeIssue.ts
@@ -1,6 +1,6 @@
 /** Turns a schema's issue into whole sentences that name the value and the remedy. */
 
-import type { z } from 'zod';
+import type * as z from 'zod';
 
 /** An issue of a schema that was checked with `reportInput`. */
 type Issue = z.core.$ZodIssue;
--- a/src/services/settings/common/settingsSchema.ts
+++ b/src/services/settings/common/settingsSchema.ts
@@ -1,6 +1,6 @@
 /** Pieces of schemas that several settings files share. Each key has a description, which docs are checked against. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** An IP number and a port, such as `127.0.0.1:7000`. */
 export const addressSchema = z
--- a/src/services/settings/node/loadSettings.ts
+++ b/src/services/settings/node/loadSettings.ts
@@ -2,7 +2,7 @@
 
 import { readFileSync } from 'node:fs';
 import { parse, TomlError } from 'smol-toml';
-import type { z } from 'zod';
+import type * as z from 'zod';
 import { describeError } from '../../../base/common/errors.js';
 import { describeIssue, keysOf } from '../common/describeIssue.js';
 import { SettingsError } from '../common/settingsError.js';
