Tell entries of a worker only what may change a decision

Cause: on the grown site (72 agents, 13 entries) an agent told every entry its worker's whole state 6 ms after each change, and after each answer of the worker though nothing had changed.

Change: a report goes to an entry only when the state differs in what decisions use, or after 240 ms of small changes; news waits 2 ms for each connected entry, at least the 6 ms as before. Ends go at once as before.

--- a/src/dispatch/node/entryReports.ts
+++ b/src/dispatch/node/entryReports.ts
@@ -1,5 +1,6 @@
 /** What an agent tells each entry: its worker's state when that changes, and the ends of the entry's runs at once. */
 
+import type { IClock } from '../../base/common/clock.js';
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import type {
 	AgentReportMessage,
@@ -7,9 +8,14 @@
 	TaskRunRef,
 	WorkerState,
 } from '../common/dispatchMessages.js';
+import { isWorkerNews } from '../common/workerNews.js';
 
-/** State-only news wait for others so long. */
-const reportDelayMs = 6;
+/** Least time that news of the worker alone waits for more of it; a collision by an older view costs about as much. */
+const minDelayMs = 6;
+/** The same for each connected entry, so that an agent's messages grow little with the entries. */
+const delayPerEntryMs = 2;
+/** Longest time without a report while anything changes, however little. */
+const maxQuietMs = 240;
 
 /** Where reports get their content, and where they go. */
 export interface IReportSource {
@@ -25,7 +31,8 @@
 	readonly entryKey: string;
 	handledSequence: number;
 	ends: TaskEndReport[];
-	isStateDue: boolean;
+	told: WorkerState | undefined;
+	toldAtMs: number;
 	isIntroduced: boolean;
 }
 
@@ -35,7 +42,10 @@
 	private _timer: NodeJS.Timeout | undefined;
 	private _isDueNow = false;
 
-	constructor(private readonly _source: IReportSource) {
+	constructor(
+		private readonly _source: IReportSource,
+		private readonly _clock: IClock,
+	) {
 		super();
 		this._register(
 			toDisposable(() => {
@@ -51,7 +61,8 @@
 			entryKey,
 			handledSequence: 0,
 			ends: [...missedEnds],
-			isStateDue: true,
+			told: undefined,
+			toldAtMs: -Infinity,
 			isIntroduced: false,
 		});
 		this._sendNow();
@@ -86,20 +97,23 @@
 		}
 	}
 
-	/** Reports the state soon. */
+	/** Reports the state soon to those for whom it is news. */
 	stateChanged(): void {
-		for (const link of this._links.values()) {
-			link.isStateDue = true;
-		}
-		this._timer ??= setTimeout(() => {
-			this._timer = undefined;
-			this.flush();
-		}, reportDelayMs);
+		this._timer ??= setTimeout(
+			() => {
+				this._timer = undefined;
+				this.flush();
+			},
+			Math.max(minDelayMs, delayPerEntryMs * this._links.size),
+		);
 	}
 
 	/** Sends all that is due. */
 	flush(): void {
-		this._send(({ isStateDue, ends }) => isStateDue || ends.length > 0);
+		const quietSinceMs = this._clock.nowMs() - maxQuietMs;
+		this._send(
+			(link, state) => isDue(link) || link.toldAtMs <= quietSinceMs || isWorkerNews(link.told, state),
+		);
 	}
 
 	private _sendNow(): void {
@@ -109,31 +123,37 @@
 		this._isDueNow = true;
 		setImmediate(() => {
 			this._isDueNow = false;
-			this._send(({ isIntroduced, ends }) => !isIntroduced || ends.length > 0);
+			this._send(isDue);
 		});
 	}
 
-	private _send(isDue: (link: EntryLink) => boolean): void {
-		const links = [...this._links.values()].filter(isDue);
-		if (links.length === 0) {
+	private _send(isWanted: (link: EntryLink, state: WorkerState | undefined) => boolean): void {
+		if (this._links.size === 0) {
 			return;
 		}
 		const state = this._source.state();
-		for (const link of links) {
-			const { linkId, handledSequence, ends, entryKey, isIntroduced } = link;
-			link.isIntroduced = true;
-			link.isStateDue = false;
-			link.ends = [];
-			this._source.send(linkId, {
-				kind: 'agentReport',
-				handledSequence,
-				ends,
-				...(state === undefined ? {} : { state }),
-				...(isIntroduced ? {} : { heldRuns: this._source.heldRunsOf(entryKey) }),
-			});
+		for (const link of this._links.values()) {
+			if (isWanted(link, state)) {
+				this._sendTo(link, state);
+			}
 		}
 	}
 
+	private _sendTo(link: EntryLink, state: WorkerState | undefined): void {
+		const { linkId, handledSequence, ends, entryKey, isIntroduced } = link;
+		link.isIntroduced = true;
+		link.told = state;
+		link.toldAtMs = this._clock.nowMs();
+		link.ends = [];
+		this._source.send(linkId, {
+			kind: 'agentReport',
+			handledSequence,
+			ends,
+			...(state === undefined ? {} : { state }),
+			...(isIntroduced ? {} : { heldRuns: this._source.heldRunsOf(entryKey) }),
+		});
+	}
+
 	private _linkOf(entryKey: string): EntryLink | undefined {
 		for (const link of this._links.values()) {
 			if (link.entryKey === entryKey) {
@@ -143,3 +163,8 @@
 		return undefined;
 	}
 }
+
+/** Whether a connection's first report, or an end, has to be sent. */
+function isDue({ isIntroduced, ends }: EntryLink): boolean {
+	return !isIntroduced || ends.length > 0;
+}
--- a/src/dispatch/node/taskExecutor.ts
+++ b/src/dispatch/node/taskExecutor.ts
@@ -95,13 +95,14 @@
 			log: _options.log,
 		});
 		this._reports = this._register(
-			new EntryReports({
-				state: () => this._state(),
-				heldRunsOf: (entryKey) => this._runs.runsOf(entryKey).map(runRefOf),
-				send: (linkId, message) => {
-					_host.send(linkId, message);
+			new EntryReports(
+				{
+					state: () => this._state(),
+					heldRunsOf: (entryKey) => this._runs.runsOf(entryKey).map(runRefOf),
+					send: _host.send.bind(_host),
 				},
-			}),
+				_options.clock,
+			),
 		);
 		this._register(
 			this._orphans.onDidGiveUp((entryKey) => {
@@ -454,9 +455,8 @@
 
 	/** Forgets the worker; it must announce itself again. Its runs ended with it. */
 	private _loseWorker(cause: 'left' | 'otherWorker' | 'reborn'): void {
-		const { announcement } = this._worker;
-		const fields = { workerId: announcement?.workerId, cause, runs: this._runs.size };
-		this._options.log.warn('worker.lost', fields);
+		const workerId = this._worker.announcement?.workerId;
+		this._options.log.warn('worker.lost', { workerId, cause, runs: this._runs.size });
 		this._worker.lose();
 		this._acknowledgedEnd = 0;
 		this._lease.reset();
