Give up an attempt to connect after 250 ms

Change: an attempt without a connection after 250 ms is given up and made again; the pause between attempts is at most 0.5 s instead of 1 s.

Ruled out: a shorter bound for the handshake as a whole; a process with a third of a core may take long for it when all agents come at once, while the kernel connects without it.

Test: frameConnection.test.ts, a machine that is off at the first attempt; without the change it connects after the handshake's second.

--- a/src/services/transport/node/frameConnector.ts
+++ b/src/services/transport/node/frameConnector.ts
@@ -1,14 +1,16 @@
 /** Keeps one connection to an address open, with jittered backoff between attempts. */
 
-import { connect } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { backoffMs, type BackoffOptions } from '../../../base/common/async.js';
 import { Disposable, toDisposable } from '../../../base/common/disposable.js';
 import { Emitter } from '../../../base/common/event.js';
-import type { IConnection, IConnector } from '../common/transport.js';
-import { parseAddress } from './address.js';
+import { TransportError, type IConnection, type IConnector } from '../common/transport.js';
+import { parseAddress, type HostAndPort } from './address.js';
 import { FrameConnection, type ConnectionOptions } from './frameConnection.js';
 
-const reconnectBackoff: BackoffOptions = { firstMs: 50, maxMs: 1000 };
+const reconnectBackoff: BackoffOptions = { firstMs: 50, maxMs: 500 };
+/** Far above a round trip; the kernel repeats the first packet to a machine that was off only after 1 s. */
+const connectTimeoutMs = 250;
 
 /**
  * Connects to an address until it is disposed.
@@ -32,6 +34,7 @@
 	constructor(
 		readonly address: string,
 		private readonly _options: ConnectionOptions,
+		private readonly _dial: (address: HostAndPort) => Socket = connect,
 	) {
 		super();
 		this._register(
@@ -48,13 +51,21 @@
 	}
 
 	private _connect(): void {
-		const connection = new FrameConnection(connect(parseAddress(this.address)), 'client', this._options);
+		const socket = this._dial(parseAddress(this.address));
+		const timer = setTimeout(() => {
+			socket.destroy(new TransportError(`No connection to ${this.address} within ${connectTimeoutMs} ms.`));
+		}, connectTimeoutMs);
+		socket.once('connect', () => {
+			clearTimeout(timer);
+		});
+		const connection = new FrameConnection(socket, 'client', this._options);
 		this._current = connection;
 		connection.onDidOpen(() => {
 			this._failedAttempts = 0;
 			this._onDidConnect.fire(connection);
 		});
 		connection.onDidClose((reason) => {
+			clearTimeout(timer);
 			this._onDidFail.fire(reason);
 			this._scheduleRetry();
 		});
--- a/src/services/transport/test/frameConnection.test.ts
+++ b/src/services/transport/test/frameConnection.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { connect } from 'node:net';
+import { connect, Socket } from 'node:net';
 import { Deferred } from '../../../base/common/async.js';
 import { DisposableStore } from '../../../base/common/disposable.js';
 import { FrameDecoder, FrameEncoder, FrameError } from '../common/frameCodec.js';
@@ -132,3 +132,25 @@
 	silent.destroy();
 	store.dispose();
 });
+
+test('a machine that was off at the first attempt is connected to soon after it is back', async (t) => {
+	const store = new DisposableStore();
+	const listener = store.add(await FrameListener.listen('127.0.0.1:0', optionsOf('entry', 'entry-1')));
+	let attempts = 0;
+	const startMs = performance.now();
+	const connector = store.add(
+		new FrameConnector(listener.address, optionsOf('agent', 'agent-1'), (address) => {
+			attempts += 1;
+			// A machine that is off answers nothing.
+			return attempts === 1 ? new Socket() : connect(address);
+		}),
+	);
+	const isConnected = new Deferred<undefined>();
+	connector.onDidConnect(() => {
+		isConnected.resolve(undefined);
+	});
+
+	await isConnected.promise;
+	t.true(performance.now() - startMs < 900, 'sooner than the kernel would try again');
+	store.dispose();
+});
