Review workers at intervals, and at once when a report is suspect

Cause: an entry reviewed all workers of all pools at each report: on the grown site more than a thousand times a second, 72 workers each, with a sort. The review of pools has its own file.

--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -4,6 +4,7 @@
  */
 
 import type { LogFields } from '../../services/log/common/log.js';
+import { reviewPools } from './agentReview.js';
 import { AgentTable, removeRun, runKeyOf, takeState, type AgentRow } from './agentTable.js';
 import {
 	taskKeyOf,
@@ -17,7 +18,7 @@
 import { createJobRow, noteStep, type JobRow, type TaskRow } from './jobTable.js';
 import type { JobOutcome, JobRequest, JobState } from './jobs.js';
 import { TaskPlacer } from './taskPlacer.js';
-import { reviewHealth } from './workerHealth.js';
+import { isSuspect } from './workerHealth.js';
 
 /** Settings of the core. */
 export interface DispatchOptions {
@@ -29,6 +30,8 @@
 const rememberMs = 10_000;
 /** Time before its deadline at which a job that can't be done any more is given up. */
 const giveUpLeadMs = 20;
+/** Time between reviews of all workers while no report is suspect; half of the time between looks at deadlines. */
+const reviewIntervalMs = 8;
 /** Time after the entry's start in which a job waits for the first workers to report. */
 const settlingMs = 1500;
 
@@ -47,6 +50,7 @@
 	private readonly _placer: TaskPlacer;
 	private readonly _waiting = new Set<JobRow>();
 	private readonly _startedAtMs: number;
+	private _reviewedAtMs = -Infinity;
 
 	constructor(
 		private readonly _host: IDispatchHost,
@@ -188,6 +192,9 @@
 			this._settleEarlierLife(agent, nowMs);
 		}
 		takeState(agent, report.state, report);
+		if (isSuspect(report.state)) {
+			this._reviewedAtMs = -Infinity;
+		}
 		this._moveLaggards(agent);
 	}
 
@@ -282,25 +289,11 @@
 	}
 
 	private _reviewWorkers(nowMs: number): void {
-		const byPool = new Map<string, AgentRow[]>();
-		for (const agent of this._agents.all) {
-			if (agent.linkId !== undefined && agent.hasState) {
-				const pool = byPool.get(agent.state.pool) ?? [];
-				pool.push(agent);
-				byPool.set(agent.state.pool, pool);
-			}
-		}
-		for (const pool of byPool.values()) {
-			for (const { agentId, state } of reviewHealth(pool, nowMs)) {
-				this._host.log('warn', 'worker.resting', {
-					agentId,
-					pace: state.pace,
-					speed: state.speed,
-					failedEnds: state.failedEnds,
-					doneEnds: state.doneEnds,
-				});
-			}
+		if (nowMs - this._reviewedAtMs < reviewIntervalMs) {
+			return;
 		}
+		this._reviewedAtMs = nowMs;
+		reviewPools(this._agents.all, this._host, nowMs);
 		for (const agent of this._agents.all) {
 			if (agent.health.condition === 'resting') {
 				this._moveLaggards(agent);
--- a/src/dispatch/common/workerHealth.ts
+++ b/src/dispatch/common/workerHealth.ts
@@ -83,6 +83,11 @@
 	return begun;
 }
 
+/** Whether a state may be that of a worker in trouble, so that the review is not to wait. */
+export function isSuspect({ failureStreak, pace }: WorkerState): boolean {
+	return failureStreak > 0 || (pace !== undefined && pace < slowShare);
+}
+
 function endProbing(state: WorkerState, health: HealthRecord): void {
 	if (state.doneEnds > health.doneAtProbe + 0.5 || (health.streakAtProbe > 0 && state.failureStreak === 0)) {
 		health.condition = 'sound';
