Let all sound workers share the tasks, those with more room more often

All 13 entries press to the workers that end a task soonest (within 1.3 times the earliest, which leaves out a third of the sound ones) and to the one of them with most room.

Change: workers within 1.7 times the earliest end are equal (the slowest sound worker takes 1.56 times as long as the fastest, objectives leave 1.6 and 60 ms), and one is drawn in proportion to the square of its room. Near data goes first as before.

--- a/src/dispatch/common/placement.ts
+++ b/src/dispatch/common/placement.ts
@@ -1,14 +1,20 @@
 /**
- * Chooses the worker of a task. Load pattern: several entries place on the same workers with a view that is a few
- * milliseconds old, so that a choice of the single best one would make them collide.
+ * Chooses the worker of a task. Load pattern: a dozen entries place on the same workers with a view that is some tens of
+ * milliseconds old, so that a choice of the best ones would make them collide.
  */
 
 import { addNeeds, countFitting, type TaskNeeds, type WorkerState } from './dispatchMessages.js';
 import type { JobRequest } from './jobs.js';
 import type { HealthRecord } from './workerHealth.js';
 
-/** Expected ends within this factor of the earliest count as equal; estimates are no better. */
-const equalEndFactor = 1.3;
+/**
+ * Expected ends within this factor of the earliest count as equal: the users' slowest sound workers take 1.56 times as
+ * long as their fastest, and objectives leave room for that. With less, all entries would press to the fastest.
+ */
+const equalEndFactor = 1.7;
+
+/** Tasks of room from which more makes no difference. */
+const maxRoom = 1000;
 
 /** A worker as an entry sees it. */
 export interface WorkerView {
@@ -64,14 +70,17 @@
 }
 
 /** Expected duration of the request's task at a worker. */
-export function expectedMs(worker: WorkerView, request: PlacementRequest): number {
-	const { preferredLabel } = request;
-	const isAway = preferredLabel !== undefined && !worker.state.labels.includes(preferredLabel);
-	return (request.estimateMs * (isAway ? request.awayFactor : 1)) / worker.state.speed;
+function expectedMs(worker: WorkerView, request: PlacementRequest): number {
+	return (request.estimateMs * (isAway(worker, request) ? request.awayFactor : 1)) / worker.state.speed;
+}
+
+function isAway({ state }: WorkerView, { preferredLabel }: PlacementRequest): boolean {
+	return preferredLabel !== undefined && !state.labels.includes(preferredLabel);
 }
 
 /**
- * Chooses among the workers that hold the task now: of those that end it soonest, one with much room, by chance.
+ * Chooses among the workers that hold the task now: of those that end it soon enough, and near its data if there are
+ * any, one by chance, those with more room rather.
  *
  * @param random returns a number from 0 up to 1
  * @returns `undefined` when the task fits nowhere now
@@ -86,27 +95,26 @@
 	const fitting: { readonly worker: T; readonly endMs: number; readonly room: number }[] = [];
 	let earliestMs = Infinity;
 	for (const worker of workers) {
-		if (!isEligible(worker, request)) {
-			continue;
-		}
-		const room = countFitting(request.needs, freeAt(worker));
+		const room = isEligible(worker, request) ? countFitting(request.needs, freeAt(worker)) : 0;
 		if (room === 0) {
 			continue;
 		}
 		const endMs = expectedMs(worker, request);
 		earliestMs = Math.min(earliestMs, endMs);
-		fitting.push({ worker, endMs, room: Math.min(room, 1000) });
+		fitting.push({ worker, endMs, room });
 	}
+	const soon = fitting.filter(({ endMs }) => endMs <= earliestMs * equalEndFactor);
+	const hasNear = soon.some(({ worker }) => !isAway(worker, request));
 	let chosen: T | undefined;
-	let bestWeight = -1;
-	for (const { worker, endMs, room } of fitting) {
-		if (endMs > earliestMs * equalEndFactor) {
+	let highest = -1;
+	for (const { worker, room } of soon) {
+		if (hasNear && isAway(worker, request)) {
 			continue;
 		}
-		// The largest of room × chance: workers with more room are chosen more often, but not by everyone.
-		const weight = room * (0.5 + 0.5 * random());
-		if (weight > bestWeight) {
-			bestWeight = weight;
+		// The highest of these keys falls on each worker in proportion to the square of its room.
+		const key = random() ** (1 / Math.min(room, maxRoom) ** 2);
+		if (key > highest) {
+			highest = key;
 			chosen = worker;
 		}
 	}
--- a/src/dispatch/common/test/replayLoad.test.ts
+++ b/src/dispatch/common/test/replayLoad.test.ts
@@ -23,6 +23,9 @@
 /** Share of what has room that must be in time. */
 const aim = 0.95;
 
+/** Share of the starts that may find no room: as much as may be thrown away of the work. */
+const maxRefusedShare = 0.05;
+
 function shareOf({ asked, inObjective }: KindOutcome): number {
 	return inObjective / asked;
 }
@@ -99,3 +102,18 @@
 	const stayed = all.inObjective + all.late + all.rejected + all.failed;
 	t.true(all.inObjective / stayed >= aim, `${all.inObjective} of ${stayed}`);
 });
+
+test('thirteen entries on seventy-two workers: what has room is in time, and few starts collide', (t) => {
+	const outcome = replayLoad({
+		seed: 1,
+		durationMs: 3000,
+		entries: 13,
+		workers: siteWorkers(72),
+		// The small site's load a worker.
+		kinds: siteKinds(72 / 11),
+	});
+	const all = total(outcome);
+	t.true(shareOf(all) >= aim, `${shareOf(all)} of ${all.asked} in time`);
+	const refusedShare = outcome.startsRefused / outcome.startsSent;
+	t.true(refusedShare <= maxRefusedShare, `${refusedShare} of the starts found no room`);
+});
--- a/src/dispatch/common/test/replayLoad.ts
+++ b/src/dispatch/common/test/replayLoad.ts
@@ -84,6 +84,9 @@
 	/** Core-milliseconds of work that was stopped. */
 	readonly wastedCoreMs: number;
 	readonly usefulCoreMs: number;
+	/** Starts that entries sent, and those of them that found no room. */
+	readonly startsSent: number;
+	readonly startsRefused: number;
 }
 
 /** The sites' kinds at a factor of their usual rate. */
@@ -95,11 +98,11 @@
 	];
 }
 
-/** The sites' eleven workers: two sizes, three speeds. */
-export function siteWorkers(): readonly { readonly cpuMillis: number; readonly speed: number }[] {
+/** The sites' workers: two sizes, three speeds. */
+export function siteWorkers(count = 11): readonly { readonly cpuMillis: number; readonly speed: number }[] {
 	const sizes = [1, 1, 1.5];
 	const speeds = [0.8, 1, 1.25];
-	return Array.from({ length: 11 }, (_, index) => ({
+	return Array.from({ length: count }, (_, index) => ({
 		cpuMillis: 32_000 * (sizes[index % 3] ?? 1),
 		speed: speeds[Math.floor(index / 3) % 3] ?? 1,
 	}));
@@ -107,7 +110,8 @@
 
 const linkMs = 1.2;
 const holdMs = 60;
-const reportDelayMs = 6;
+const minReportDelayMs = 6;
+const reportDelayPerEntryMs = 2;
 const tickMs = 15;
 const pool = 'pool';
 const stretch = 1.6;
@@ -153,7 +157,7 @@
 	readonly random: SeededRandom;
 	private readonly _arrivalRandom: SeededRandom;
 	readonly jobs = new Map<string, ReplayJob>();
-	readonly outcome: ReplayOutcome & { wastedCoreMs: number; usefulCoreMs: number };
+	readonly outcome: { -readonly [Field in keyof ReplayOutcome]: ReplayOutcome[Field] };
 	readonly cores: DispatchCore[] = [];
 	readonly workers: ReplayWorker[];
 	private readonly _events = new Heap<Event>((a, b) => a.atMs - b.atMs || a.order - b.order);
@@ -163,7 +167,14 @@
 		this.random = new SeededRandom(plan.seed + 1_000_000);
 		this._arrivalRandom = new SeededRandom(plan.seed);
 		const kinds = new Map(plan.kinds.map(({ name }) => [name, createOutcome()]));
-		this.outcome = { kinds, largest: createOutcome(), wastedCoreMs: 0, usefulCoreMs: 0 };
+		this.outcome = {
+			kinds,
+			largest: createOutcome(),
+			wastedCoreMs: 0,
+			usefulCoreMs: 0,
+			startsSent: 0,
+			startsRefused: 0,
+		};
 		this.workers = plan.workers.map((worker, index) => new ReplayWorker(this, index, worker));
 		for (let entry = 0; entry < plan.entries; entry += 1) {
 			this.cores.push(new DispatchCore(this._hostOf(entry), { orphanLifetimeMs: 1300 }, 0));
@@ -205,6 +216,10 @@
 			this.nowMs = event.atMs;
 			event.run();
 		}
+		for (const { counters } of this.cores) {
+			this.outcome.startsSent += counters.startsSent;
+			this.outcome.startsRefused += counters.startsRefused;
+		}
 		return this.outcome;
 	}
 
@@ -427,7 +442,8 @@
 			return;
 		}
 		this._isReportDue = true;
-		this._replay.at(this._replay.nowMs + reportDelayMs, () => {
+		const delayMs = Math.max(minReportDelayMs, reportDelayPerEntryMs * this._replay.plan.entries);
+		this._replay.at(this._replay.nowMs + delayMs, () => {
 			this._isReportDue = false;
 			this.report();
 		});
