--- a/src/dispatch/common/jobTable.ts
+++ b/src/dispatch/common/jobTable.ts
@@ -51,10 +51,11 @@
 /** Makes the row of a job that has just arrived. */
 export function createJobRow(request: JobRequest, nowMs: number): JobRow {
 	const objectiveMs = request.stretch * request.estimateMs + request.objectiveMs;
-	const latestStartMs = nowMs + objectiveMs - request.estimateMs - answerMs;
+	const arrivedMs = nowMs - (request.waitedMs ?? 0);
+	const latestStartMs = arrivedMs + objectiveMs - request.estimateMs - answerMs;
 	return {
 		request,
-		arrivedMs: nowMs,
+		arrivedMs,
 		latestStartMs,
 		deadlineMs: nowMs + request.waitMs,
 		tasks: Array.from({ length: request.taskCount }, (_, taskIndex) => createTaskRow(taskIndex)),
--- a/src/dispatch/common/jobs.ts
+++ b/src/dispatch/common/jobs.ts
@@ -24,8 +24,10 @@
 	readonly maxAttempts: number;
 	readonly stretch: number;
 	readonly objectiveMs: number;
-	/** Time that the caller waits for the answer. */
+	/** Time that the caller goes on to wait for the answer. */
 	readonly waitMs: number;
+	/** Time since the request came, which counts against its objective; 0 when absent. */
+	readonly waitedMs?: number | undefined;
 }
 
 /** Why a job was not taken; nothing of it has run, and nothing will. */
--- a/src/dispatch/common/test/dispatchCore.test.ts
+++ b/src/dispatch/common/test/dispatchCore.test.ts
@@ -257,6 +257,16 @@
 	t.deepEqual(harness.starts(1), []);
 });
 
+test('the time that a request waited before it was read counts against its objective', (t) => {
+	const harness = new Harness();
+	harness.connect(1, 'agent-1');
+	harness.report(1, {}, { used: { cpuMillis: 8000, memoryMb: 100, accelerators: 0 } });
+	harness.submit({ jobId: 'a' });
+	t.deepEqual(harness.outcomes, []);
+	harness.submit({ jobId: 'b', waitedMs: 300 });
+	t.like(harness.outcomes[0], { kind: 'rejected', reason: 'overloaded' });
+});
+
 test('a waiting job is rejected as soon as it can’t be in time any more', (t) => {
 	const harness = new Harness();
 	harness.connect(1, 'agent-1');
--- a/src/services/transport/node/frameConnector.ts
+++ b/src/services/transport/node/frameConnector.ts
@@ -53,7 +53,13 @@
 	private _connect(): void {
 		const socket = this._dial(parseAddress(this.address));
 		const timer = setTimeout(() => {
-			socket.destroy(new TransportError(`No connection to ${this.address} within ${connectTimeoutMs} ms.`));
+			// A process that was itself held up learns first of a connection that was made in time.
+			setImmediate(() => {
+				if (socket.pending) {
+					const message = `No connection to ${this.address} within ${connectTimeoutMs} ms.`;
+					socket.destroy(new TransportError(message));
+				}
+			});
 		}, connectTimeoutMs);
 		socket.once('connect', () => {
 			clearTimeout(timer);
--- a/src/services/transport/test/frameConnection.test.ts
+++ b/src/services/transport/test/frameConnection.test.ts
@@ -141,8 +141,8 @@
 	const connector = store.add(
 		new FrameConnector(listener.address, optionsOf('agent', 'agent-1'), (address) => {
 			attempts += 1;
-			// A machine that is off answers nothing.
-			return attempts === 1 ? new Socket() : connect(address);
+			// A machine that is off answers nothing, so that the socket goes on connecting.
+			return attempts === 1 ? Object.assign(new Socket(), { connecting: true }) : connect(address);
 		}),
 	);
 	const isConnected = new Deferred<undefined>();
