Schedule after a report only when a job waits or the report is suspect

Change: the core says whether there is something to do now; deadlines and reviews have their regular turns as before.

--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -170,11 +170,11 @@
 		this._doubtAllRuns(agent, nowMs);
 	}
 
-	/** Takes a report of an agent. */
-	takeReport(linkId: number, report: AgentReportMessage, nowMs: number): void {
+	/** Takes a report of an agent. Returns whether {@link schedule} has something to do now, beside its regular turns. */
+	takeReport(linkId: number, report: AgentReportMessage, nowMs: number): boolean {
 		const agent = this._agents.byLink(linkId);
 		if (agent === undefined) {
-			return;
+			return false;
 		}
 		for (const end of report.ends) {
 			this._takeEnd(agent, end, nowMs);
@@ -184,7 +184,7 @@
 		}
 		if (report.state === undefined) {
 			agent.state = { ...agent.state, isAccepting: false };
-			return;
+			return this._waiting.size > 0;
 		}
 		if (!agent.hasState) {
 			const { pool, workerId, dataCentre } = report.state;
@@ -192,10 +192,12 @@
 			this._settleEarlierLife(agent, nowMs);
 		}
 		takeState(agent, report.state, report);
+		this._moveLaggards(agent);
 		if (isSuspect(report.state)) {
 			this._reviewedAtMs = -Infinity;
+			return true;
 		}
-		this._moveLaggards(agent);
+		return this._waiting.size > 0;
 	}
 
 	/** Gives up what has no time left, reviews the workers, and places what waits. */
--- a/src/dispatch/common/test/replayLoad.ts
+++ b/src/dispatch/common/test/replayLoad.ts
@@ -543,8 +543,10 @@
 		const handledSequence = this._handled[entry] ?? 0;
 		this._replay.at(nowMs + linkMs, () => {
 			const core = this._replay.cores[entry];
-			core?.takeReport(this.index, { kind: 'agentReport', handledSequence, state, ends }, this._replay.nowMs);
-			core?.schedule(this._replay.nowMs);
+			const report = { kind: 'agentReport' as const, handledSequence, state, ends };
+			if (core?.takeReport(this.index, report, this._replay.nowMs) === true) {
+				core.schedule(this._replay.nowMs);
+			}
 		});
 	}
 }
--- a/src/dispatch/node/dispatcher.ts
+++ b/src/dispatch/node/dispatcher.ts
@@ -132,8 +132,8 @@
 		this._connections.set(linkId, connection);
 		this._core.agentConnected(linkId, processId, incarnation, this._nowMs());
 		connection.onDidReceive((message) => {
-			if (message.kind === 'agentReport') {
-				this._core.takeReport(linkId, message as AgentReportMessage, this._nowMs());
+			const isReport = message.kind === 'agentReport';
+			if (isReport && this._core.takeReport(linkId, message as AgentReportMessage, this._nowMs())) {
 				this._scheduleSoon();
 			}
 		});
