Do late jobs where room is free, and forecast by what idle workers will do

Two causes: a job past its latest start was refused before it was placed, and the forecast divided by the running tasks alone, of which there were none, while jobs that had come together were ahead.

Change: what waits is placed before what is late is given up, a job is taken when room is free for it now, and the forecast counts free places as filled by those ahead. A late answer serves a caller better than none.

Two tests that fail without it.

--- a/src/dispatch/common/admission.ts
+++ b/src/dispatch/common/admission.ts
@@ -43,10 +43,11 @@
 export function decideAdmission(inputs: AdmissionInputs, random: () => number): AdmissionDecision {
 	const { taskCount, freeSlots, busySlots, tasksAhead, entryCount, meanTaskMs, slackMs } = inputs;
 	const missing = tasksAhead * entryCount + taskCount - freeSlots;
-	// Running tasks end at an even rate, so each frees its room after a mean duration.
-	const releasesPerMs = busySlots / Math.max(1, meanTaskMs);
+	// Those ahead fill what is free. All then end at an even rate, so each frees its room after a mean duration.
+	const releasesPerMs = (busySlots + freeSlots) / Math.max(1, meanTaskMs);
 	const waitMs = missing <= 0 ? 0 : releasesPerMs > 0 ? missing / releasesPerMs : Infinity;
-	const isTaken = waitMs <= slackMs;
+	// A late answer is worth more than none where nobody else needs the room.
+	const isTaken = waitMs === 0 || waitMs <= slackMs;
 	const spreadMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, 2 * waitMs));
 	return { isTaken, waitMs, retryAfterMs: minRetryAfterMs + random() * spreadMs };
 }
--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -200,11 +200,12 @@
 		return this._waiting.size > 0;
 	}
 
-	/** Gives up what has no time left, reviews the workers, and places what waits. */
+	/** Reviews the workers, places what waits, and gives up what has no time left. */
 	schedule(nowMs: number): void {
-		this._expire(nowMs);
+		this._endDoubts(nowMs);
 		this._reviewWorkers(nowMs);
 		this._placeWaiting(nowMs);
+		this._expire(nowMs);
 	}
 
 	private _admit(
@@ -245,13 +246,8 @@
 		this._host.log('info', 'job.rejected', { jobId, route, taskCount, ...inputs });
 	}
 
-	private _expire(nowMs: number): void {
-		for (const [jobId, { atMs }] of this._ended) {
-			if (nowMs - atMs < rememberMs) {
-				break;
-			}
-			this._ended.delete(jobId);
-		}
+	/** Lets tasks wait for room again that can no longer run where they were. */
+	private _endDoubts(nowMs: number): void {
 		for (const job of this._jobs.values()) {
 			for (const task of job.tasks) {
 				if (task.phase === 'inDoubt' && nowMs >= task.doubtUntilMs) {
@@ -262,6 +258,17 @@
 					this._release(job, task);
 				}
 			}
+		}
+	}
+
+	private _expire(nowMs: number): void {
+		for (const [jobId, { atMs }] of this._ended) {
+			if (nowMs - atMs < rememberMs) {
+				break;
+			}
+			this._ended.delete(jobId);
+		}
+		for (const job of this._jobs.values()) {
 			this._expireJob(job, nowMs);
 		}
 	}
--- a/src/dispatch/common/test/dispatchCore.test.ts
+++ b/src/dispatch/common/test/dispatchCore.test.ts
@@ -267,6 +267,26 @@
 	t.like(harness.outcomes[0], { kind: 'rejected', reason: 'overloaded' });
 });
 
+test('a job that is late already is done where room is free', (t) => {
+	const harness = new Harness();
+	harness.connect(1, 'agent-1');
+	harness.report(1);
+	harness.submit({ waitedMs: 300 });
+	t.is(harness.starts(1).length, 1);
+	harness.advance(30);
+	t.deepEqual(harness.outcomes, []);
+});
+
+test('jobs that come together are taken by what idle workers will do, not refused since none works yet', (t) => {
+	const harness = new Harness();
+	harness.connect(1, 'agent-1');
+	harness.report(1);
+	for (const jobId of ['a', 'b', 'c']) {
+		harness.core.submit(createRequest({ jobId }), (outcome) => harness.outcomes.push(outcome), 0);
+	}
+	t.deepEqual(harness.outcomes, []);
+});
+
 test('a waiting job is rejected as soon as it can’t be in time any more', (t) => {
 	const harness = new Harness();
 	harness.connect(1, 'agent-1');
