Wait for the stand-in's record of a stop in the test that counts them

Cause, by reading: the stand-in answers the stop, and records it when the task's own continuation runs; the agent tells the end with the first of both. The test looked at once. It waits for the second record now and still demands exactly two.

--- a/src/agent/test/agentProcess.test.ts
+++ b/src/agent/test/agentProcess.test.ts
@@ -206,6 +206,8 @@
 		await waitFor('all tasks are answered', patienceMs, () => entry.outcomes.length === 6);
 		const states = tasks.map(({ taskIndex }) => entry.endsOf('job-1', taskIndex)[0]?.state);
 		t.deepEqual(states, ['stopped', 'stopped', 'notStarted', 'notStarted', 'notStarted', 'notStarted']);
+		// The upstream answers a stop before it records the end of the task.
+		await waitFor('both stops are recorded', patienceMs, () => harness.journaled('stop').length >= 2);
 		t.is(harness.journaled('stop').length, 2);
 	});
 });
