--- a/src/dispatch/common/laggards.ts
+++ b/src/dispatch/common/laggards.ts
@@ -7,7 +7,7 @@
 import type { HeldRun } from './heldRuns.js';
 
 /** Pace from which a worker's runs are not looked at. */
-const fairPace = 0.8;
+export const fairPace = 0.8;
 /** A run lags when it needs so much longer than a whole new one; moving costs its work. */
 const minGainFactor = 1.2;
 
--- a/src/dispatch/common/workerNews.ts
+++ b/src/dispatch/common/workerNews.ts
@@ -4,12 +4,11 @@
  */
 
 import type { WorkerState } from './dispatchMessages.js';
+import { fairPace } from './laggards.js';
 
 /** Least change of a speed or of a fair pace, as a share of full speed; estimates are far rougher. */
 const minSpeedChange = 0.1;
-/** Pace from which its small changes decide nothing: well above that of a worker in trouble. */
-const fairPace = 0.8;
-/** Least change of a low pace. */
+/** Least change of a pace that is not fair, by which entries move work. */
 const minLowPaceChange = 0.02;
 /** Least rise of the failed ends; they only fade otherwise. */
 const minFailedRise = 0.25;
