Share the entries' connections, the nearness of a worker, and the routing of tests

Read again: the cluster client filtered connected entries twice, the placement looked up a worker's labels up to three times for one task, and two tests built the same routing document.

--- a/src/cluster/node/clusterClient.ts
+++ b/src/cluster/node/clusterClient.ts
@@ -84,17 +84,20 @@
 
 	/** Sends a message to every entry that is connected. */
 	tellEntries(message: Message): void {
-		for (const { connector } of this._servers.values()) {
-			if (connector.connection?.peer.role === 'entry') {
-				connector.connection.send(message);
-			}
+		for (const connection of this._entryConnections()) {
+			connection.send(message);
 		}
 	}
 
 	/** Entries that are connected. */
 	get connectedEntries(): number {
-		return [...this._servers.values()].filter(({ connector }) => connector.connection?.peer.role === 'entry')
-			.length;
+		return this._entryConnections().length;
+	}
+
+	private _entryConnections(): readonly IConnection[] {
+		return [...this._servers.values()].flatMap(({ connector: { connection } }) =>
+			connection?.peer.role === 'entry' ? [connection] : [],
+		);
 	}
 
 	/** Replaces the seed addresses. */
--- a/src/dispatch/common/placement.ts
+++ b/src/dispatch/common/placement.ts
@@ -69,13 +69,8 @@
 	return health.condition === 'sound';
 }
 
-/** Expected duration of the request's task at a worker. */
-function expectedMs(worker: WorkerView, request: PlacementRequest): number {
-	return (request.estimateMs * (isAway(worker, request) ? request.awayFactor : 1)) / worker.state.speed;
-}
-
-function isAway({ state }: WorkerView, { preferredLabel }: PlacementRequest): boolean {
-	return preferredLabel !== undefined && !state.labels.includes(preferredLabel);
+function isNear({ state }: WorkerView, { preferredLabel }: PlacementRequest): boolean {
+	return preferredLabel === undefined || state.labels.includes(preferredLabel);
 }
 
 /**
@@ -92,23 +87,29 @@
 	request: PlacementRequest,
 	random: () => number,
 ): T | undefined {
-	const fitting: { readonly worker: T; readonly endMs: number; readonly room: number }[] = [];
+	const fitting: {
+		readonly worker: T;
+		readonly endMs: number;
+		readonly room: number;
+		readonly isNearData: boolean;
+	}[] = [];
 	let earliestMs = Infinity;
 	for (const worker of workers) {
 		const room = isEligible(worker, request) ? countFitting(request.needs, freeAt(worker)) : 0;
 		if (room === 0) {
 			continue;
 		}
-		const endMs = expectedMs(worker, request);
+		const isNearData = isNear(worker, request);
+		const endMs = (request.estimateMs * (isNearData ? 1 : request.awayFactor)) / worker.state.speed;
 		earliestMs = Math.min(earliestMs, endMs);
-		fitting.push({ worker, endMs, room });
+		fitting.push({ worker, endMs, room, isNearData });
 	}
 	const soon = fitting.filter(({ endMs }) => endMs <= earliestMs * equalEndFactor);
-	const hasNear = soon.some(({ worker }) => !isAway(worker, request));
+	const hasNear = soon.some(({ isNearData }) => isNearData);
 	let chosen: T | undefined;
 	let highest = -1;
-	for (const { worker, room } of soon) {
-		if (hasNear && isAway(worker, request)) {
+	for (const { worker, room, isNearData } of soon) {
+		if (hasNear && !isNearData) {
 			continue;
 		}
 		// The highest of these keys falls on each worker in proportion to the square of its room.
--- a/src/routing/common/test/routing.test.ts
+++ b/src/routing/common/test/routing.test.ts
@@ -1,32 +1,9 @@
 import test from 'ava';
 import { createPublished, decodeDocument, readSource } from '../../node/routingCodec.js';
 import { RouteTable } from '../routeTable.js';
-import { findRoutingFaults, type JobRoute, type RoutingDocument } from '../routingDocument.js';
+import { findRoutingFaults } from '../routingDocument.js';
 import { RoutingStateMachine } from '../routingStateMachine.js';
-
-function route(change: Partial<JobRoute> = {}): JobRoute {
-	return {
-		name: 'r',
-		host: 'a.example',
-		pathPrefix: '/x/',
-		pool: 'p',
-		timeoutMs: 1500,
-		objectiveMs: 60,
-		stretch: 1.6,
-		priority: 0,
-		maxAttempts: 2,
-		...change,
-	};
-}
-
-function document(version: number, routes: readonly JobRoute[] = [route()]): RoutingDocument {
-	return {
-		version,
-		routes,
-		pools: [{ name: 'p', enforcesCapacity: true }],
-		limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-	};
-}
+import { document, route } from './routingFixture.js';
 
 function publish(machine: RoutingStateMachine, version: number, content = `content ${version}`) {
 	const published = createPublished(document(version), Buffer.from(content), content);
