Decide about jobs early, keep room for urgent ones, and report rooms where they matter

Its tasks waited behind started jobs of the others, and each entry gives the slots that its own runs free to its own waiting tasks. Jobs that could not start were turned away at their latest start, 150 ms and more after they came.

Rejections are logged with their inputs and the age of the reports, and two counters show both errors of admission.

--- a/src/dispatch/common/agentTable.ts
+++ b/src/dispatch/common/agentTable.ts
@@ -7,6 +7,7 @@
 	type AgentReportMessage,
 	type JobStart,
 	type TaskNeeds,
+	type TaskRunRef,
 	type WorkerState,
 } from './dispatchMessages.js';
 import type { JobRow, TaskRow } from './jobTable.js';
@@ -27,6 +28,8 @@
 	state: WorkerState;
 	/** Whether a state was received from this incarnation. */
 	hasReported: boolean;
+	/** Time at which the state was received. */
+	reportedAtMs: number;
 	readonly health: HealthRecord;
 	unreportedNeeds: TaskNeeds;
 	/** Needs of each start message that the agent's state does not include yet, by the message's sequence number. */
@@ -113,6 +116,21 @@
 		return agent;
 	}
 
+	/** Removes and returns the runs of a job at each agent. */
+	takeRunsOfJob(job: JobRow): ReadonlyMap<AgentRow, readonly TaskRunRef[]> {
+		const runsByAgent = new Map<AgentRow, TaskRunRef[]>();
+		for (const task of job.tasks) {
+			const agent = this._agents.get(task.agentId);
+			if (agent?.runs.has(getRunKey(job, task)) === true) {
+				removeRun(agent, job, task);
+				const runs = runsByAgent.get(agent) ?? [];
+				runs.push({ jobId: job.request.jobId, taskIndex: task.taskIndex, run: task.run });
+				runsByAgent.set(agent, runs);
+			}
+		}
+		return runsByAgent;
+	}
+
 	/** Removes an agent that is not connected. */
 	removeDisconnected(agent: AgentRow): void {
 		if (agent.connectionId === undefined && this._agents.get(agent.agentId) === agent) {
@@ -135,6 +153,16 @@
 	}
 }
 
+/** Marks the runs of an agent that can't be reached as possibly running until a time. */
+export function markRunsInDoubt(agent: AgentRow, untilMs: number): void {
+	for (const { task } of agent.runs.values()) {
+		if (task.phase === 'placed' || task.phase === 'stopping') {
+			task.phase = 'inDoubt';
+			task.inDoubtUntilMs = untilMs;
+		}
+	}
+}
+
 /** Returns the key of a run in {@link AgentRow.runs}. */
 export function getRunKey(job: JobRow, task: TaskRow): string {
 	return getTaskKey({ jobId: job.request.jobId, taskIndex: task.taskIndex });
@@ -150,8 +178,14 @@
 }
 
 /** Applies a reported state, and drops the needs of the start messages that it includes. */
-export function applyReportedState(agent: AgentRow, state: WorkerState, report: AgentReportMessage): void {
+export function applyReportedState(
+	agent: AgentRow,
+	state: WorkerState,
+	report: AgentReportMessage,
+	nowMs: number,
+): void {
 	agent.state = state;
+	agent.reportedAtMs = nowMs;
 	agent.hasReported = true;
 	for (const sequence of agent.unreportedNeedsBySequence.keys()) {
 		if (sequence <= report.handledSequence) {
@@ -171,6 +205,7 @@
 		connectionId,
 		state: stateBeforeFirstReport,
 		hasReported: false,
+		reportedAtMs: 0,
 		health: createHealthRecord(),
 		unreportedNeeds: noNeeds,
 		unreportedNeedsBySequence: new Map(),
--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -6,7 +6,14 @@
 
 import type { LogFields } from '../../services/log/common/log.js';
 import { updateWorkerHealth } from './workerHealthReview.js';
-import { AgentTable, removeRun, getRunKey, applyReportedState, type AgentRow } from './agentTable.js';
+import {
+	AgentTable,
+	applyReportedState,
+	getRunKey,
+	markRunsInDoubt,
+	removeRun,
+	type AgentRow,
+} from './agentTable.js';
 import {
 	getTaskKey,
 	type AgentReportMessage,
@@ -14,9 +21,10 @@
 	type TaskRunRef,
 } from './dispatchMessages.js';
 import { createCounters, logIfLate, type IDispatchHost } from './dispatchHost.js';
-import { defaultRetryAfterMs, checkAdmission, type JobRejection } from './jobAdmission.js';
+import { defaultRetryAfterMs, JobAdmission } from './jobAdmission.js';
 import { computeOrderKey } from './jobOrder.js';
-import { createJobRow, traceStep, type JobRow, type TaskRow } from './jobTable.js';
+import { JobRejections } from './jobRejections.js';
+import { createJobRow, recordRefusedStart, traceStep, type JobRow, type TaskRow } from './jobTable.js';
 import type { JobOutcome, JobRequest, JobState } from './jobs.js';
 import { TaskPlacer } from './taskPlacer.js';
 import { isSuspect } from './workerHealth.js';
@@ -48,7 +56,9 @@
 	private readonly _jobs = new Map<string, JobRow>();
 	private readonly _endedJobs = new Map<string, { readonly outcome: JobOutcome; readonly atMs: number }>();
 	private readonly _agents = new AgentTable();
+	private readonly _admission: JobAdmission;
 	private readonly _placer: TaskPlacer;
+	private readonly _rejections: JobRejections;
 	private readonly _waitingJobs = new Set<JobRow>();
 	private readonly _startedAtMs: number;
 	private _lastHealthReviewMs = -Infinity;
@@ -59,8 +69,11 @@
 		nowMs: number,
 	) {
 		this._startedAtMs = nowMs;
+		this._admission = new JobAdmission(_host, this._agents);
+		this._rejections = new JobRejections(_host, this.counters, this._agents);
 		this._placer = new TaskPlacer(
 			this._agents,
+			this._admission.reserve,
 			(connectionId, message) => {
 				_host.send(connectionId, message);
 			},
@@ -147,9 +160,13 @@
 				this._endJob(job, { kind: 'abandoned' }, nowMs, true);
 				continue;
 			}
-			this.counters.rejected += 1;
-			const retryAfterMs = defaultRetryAfterMs;
-			this._endJob(job, { kind: 'rejected', reason: 'noWorkers', retryAfterMs }, nowMs, true);
+			this._rejections.record(job, 'noWorkers', { cause: 'stopping' }, nowMs);
+			this._endJob(
+				job,
+				{ kind: 'rejected', reason: 'noWorkers', retryAfterMs: defaultRetryAfterMs },
+				nowMs,
+				true,
+			);
 		}
 	}
 
@@ -157,7 +174,7 @@
 	handleAgentConnected(connectionId: number, agentId: string, incarnation: string, nowMs: number): void {
 		const earlierIncarnation = this._agents.connect(connectionId, agentId, incarnation);
 		if (earlierIncarnation !== undefined) {
-			this._markRunsInDoubt(earlierIncarnation, nowMs);
+			markRunsInDoubt(earlierIncarnation, nowMs + this._options.orphanLifetimeMs);
 		}
 	}
 
@@ -168,7 +185,7 @@
 			return;
 		}
 		this._host.log('warn', 'agent.lost', { agentId: agent.agentId, reason, runs: agent.runs.size });
-		this._markRunsInDoubt(agent, nowMs);
+		markRunsInDoubt(agent, nowMs + this._options.orphanLifetimeMs);
 	}
 
 	/** Handles an agent's report. Returns whether {@link schedule} should run now, in addition to its regular calls. */
@@ -192,7 +209,7 @@
 			this._host.log('info', 'agent.reported', { agentId: agent.agentId, workerId, pool, dataCentre });
 			this._resolveEarlierIncarnation(agent, nowMs);
 		}
-		applyReportedState(agent, report.state, report);
+		applyReportedState(agent, report.state, report, nowMs);
 		this._moveLaggards(agent);
 		if (isSuspect(report.state)) {
 			this._lastHealthReviewMs = -Infinity;
@@ -215,13 +232,15 @@
 		nowMs: number,
 	): JobRow | undefined {
 		const job = createJobRow(request, nowMs);
+		this._admission.reserve.recordJob(request, nowMs);
 		const pool = this._agents.getConnectedInPool(request.pool);
 		const shouldAwaitWorkers = pool.length === 0 && nowMs - this._startedAtMs < startupGraceMs;
-		const rejection = shouldAwaitWorkers ? undefined : this._checkAdmission(job, pool, nowMs);
+		const rejection = shouldAwaitWorkers
+			? undefined
+			: this._admission.check(job, this._waitingJobs, this._placer.meanTaskMs, nowMs);
 		if (rejection !== undefined) {
 			const { reason, retryAfterMs, inputs } = rejection;
-			this.counters.rejected += 1;
-			this._logRejection(job, { reason, ...inputs });
+			this._rejections.record(job, reason, inputs, nowMs);
 			listener({ kind: 'rejected', reason, retryAfterMs });
 			return undefined;
 		}
@@ -231,22 +250,6 @@
 		return job;
 	}
 
-	private _checkAdmission(job: JobRow, pool: readonly AgentRow[], nowMs: number): JobRejection | undefined {
-		return checkAdmission(job, {
-			pool,
-			waitingJobs: this._waitingJobs,
-			entryCount: this._host.entryCount(),
-			meanTaskMs: this._placer.meanTaskMs,
-			nowMs,
-			random: () => this._host.random(),
-		});
-	}
-
-	private _logRejection({ request }: JobRow, inputs: LogFields): void {
-		const { jobId, route, taskCount } = request;
-		this._host.log('info', 'job.rejected', { jobId, route, taskCount, ...inputs });
-	}
-
 	/** Requeues in-doubt tasks that can no longer be running at their unreachable agents. */
 	private _requeueExpiredInDoubt(nowMs: number): void {
 		for (const job of this._jobs.values()) {
@@ -278,10 +281,8 @@
 		const { request } = job;
 		if (!job.hasStarted) {
 			if (nowMs > Math.min(job.latestStartMs, job.deadlineMs - deadlineMarginMs)) {
-				this.counters.rejected += 1;
-				this._logRejection(job, { reason: 'overloaded', waitedMs: Math.round(nowMs - job.arrivedMs) });
-				const retryAfterMs = defaultRetryAfterMs * (0.5 + this._host.random());
-				this._endJob(job, { kind: 'rejected', reason: 'overloaded', retryAfterMs }, nowMs, true);
+				this._admission.recordResults([job], 'missed');
+				this._rejectWaitingJob(job, { slackMs: job.latestStartMs - nowMs }, nowMs);
 			}
 			return;
 		}
@@ -299,6 +300,12 @@
 		}
 	}
 
+	private _rejectWaitingJob(job: JobRow, inputs: LogFields, nowMs: number): void {
+		this._rejections.record(job, 'overloaded', inputs, nowMs);
+		const retryAfterMs = defaultRetryAfterMs * (0.5 + this._host.random());
+		this._endJob(job, { kind: 'rejected', reason: 'overloaded', retryAfterMs }, nowMs, true);
+	}
+
 	private _reviewWorkers(nowMs: number): void {
 		if (nowMs - this._lastHealthReviewMs < healthReviewIntervalMs) {
 			return;
@@ -325,7 +332,16 @@
 			const jobs = [...this._waitingJobs].sort(
 				(a, b) => computeOrderKey(a, nowMs) - computeOrderKey(b, nowMs),
 			);
+			const unstarted = jobs.filter(({ hasStarted }) => !hasStarted);
 			this.counters.startsSent += this._placer.placeTasks(jobs, nowMs);
+			this._admission.recordResults(
+				unstarted.filter(({ hasStarted }) => hasStarted),
+				'started',
+			);
+			const { meanTaskMs } = this._placer;
+			for (const { job, ...inputs } of this._admission.findHopelessJobs(jobs, meanTaskMs, nowMs)) {
+				this._rejectWaitingJob(job, inputs, nowMs);
+			}
 		}
 	}
 
@@ -374,14 +390,9 @@
 		const isWorkersFault = agent.health.condition !== 'sound';
 		task.failures += isWorkersFault ? 0 : 1;
 		const { jobId, route, maxAttempts } = job.request;
-		this._host.log('info', 'task.failed', {
-			jobId,
-			route,
-			taskIndex: task.taskIndex,
-			agentId: agent.agentId,
-			failures: task.failures,
-			isWorkersFault,
-		});
+		const { taskIndex, failures, agentId } = task;
+		const fields = { jobId, route, taskIndex, agentId, failures, isWorkersFault };
+		this._host.log('info', 'task.failed', fields);
 		if (task.failures < maxAttempts) {
 			this._requeueTask(job, task);
 			return;
@@ -394,6 +405,7 @@
 
 	private _handleRefusedStart(job: JobRow, task: TaskRow, agent: AgentRow, report: TaskEndReport): void {
 		this.counters.startsRefused += 1;
+		recordRefusedStart(job);
 		if (report.reason === 'olderRun') {
 			task.run = Math.max(task.run, report.knownRun ?? task.run);
 		}
@@ -429,18 +441,7 @@
 	}
 
 	private _stopRunsOfJob(job: JobRow): void {
-		const byAgent = new Map<AgentRow, TaskRunRef[]>();
-		for (const task of job.tasks) {
-			const agent = this._agents.get(task.agentId);
-			if (!agent?.runs.has(getRunKey(job, task))) {
-				continue;
-			}
-			removeRun(agent, job, task);
-			const tasks = byAgent.get(agent) ?? [];
-			tasks.push({ jobId: job.request.jobId, taskIndex: task.taskIndex, run: task.run });
-			byAgent.set(agent, tasks);
-		}
-		for (const [agent, tasks] of byAgent) {
+		for (const [agent, tasks] of this._agents.takeRunsOfJob(job)) {
 			if (agent.connectionId !== undefined) {
 				this._host.send(agent.connectionId, { kind: 'stopTasks', tasks });
 			}
@@ -475,15 +476,6 @@
 		}
 	}
 
-	private _markRunsInDoubt(agent: AgentRow, nowMs: number): void {
-		for (const { task } of agent.runs.values()) {
-			if (task.phase === 'placed' || task.phase === 'stopping') {
-				task.phase = 'inDoubt';
-				task.inDoubtUntilMs = nowMs + this._options.orphanLifetimeMs;
-			}
-		}
-	}
-
 	/**
 	 * Ends the doubt about runs of an agent's earlier incarnation: a restarted agent sends its first state only once none
 	 * of them is still running.
--- a/src/dispatch/common/dispatchHost.ts
+++ b/src/dispatch/common/dispatchHost.ts
@@ -2,7 +2,7 @@
 
 import type { LogFields } from '../../services/log/common/log.js';
 import type { StartTasksMessage, StopTasksMessage } from './dispatchMessages.js';
-import type { JobRow } from './jobTable.js';
+import { computeObjectiveMs, type JobRow } from './jobTable.js';
 
 /** Services that the dispatch core needs from its host. */
 export interface IDispatchHost {
@@ -20,6 +20,10 @@
 	completed: number;
 	failed: number;
 	rejected: number;
+	/** Rejected jobs that had waited for more than a quarter of their objective without the work itself. */
+	rejectedLate: number;
+	/** Rejected jobs while a worker had room for one of their tasks. */
+	rejectedWithRoom: number;
 	abandoned: number;
 	cancelled: number;
 	startsSent: number;
@@ -35,6 +39,8 @@
 		completed: 0,
 		failed: 0,
 		rejected: 0,
+		rejectedLate: 0,
+		rejectedWithRoom: 0,
 		abandoned: 0,
 		cancelled: 0,
 		startsSent: 0,
@@ -46,9 +52,9 @@
 
 /** Logs the trace of a job that ended after its objective. */
 export function logIfLate(host: IDispatchHost, job: JobRow, nowMs: number): void {
-	const { jobId, route, stretch, estimateMs, objectiveMs } = job.request;
+	const { jobId, route } = job.request;
 	const tookMs = Math.round(nowMs - job.arrivedMs);
-	const aimMs = Math.round(stretch * estimateMs + objectiveMs);
+	const aimMs = Math.round(computeObjectiveMs(job.request));
 	if (tookMs > aimMs) {
 		host.log('info', 'job.late', { jobId, route, tookMs, aimMs, trace: job.trace });
 	}
--- a/src/dispatch/common/jobAdmission.ts
+++ b/src/dispatch/common/jobAdmission.ts
@@ -1,13 +1,20 @@
-/** Collects the inputs of a job's admission, and returns the reason when the job is rejected. */
+/**
+ * Decides which jobs of an entry are admitted and which of them are given up soon afterwards, and learns from what became of
+ * those that were admitted.
+ */
 
 import type { LogFields } from '../../services/log/common/log.js';
 import { decideAdmission } from './admission.js';
-import type { AgentRow } from './agentTable.js';
+import type { AgentTable } from './agentTable.js';
+import type { IDispatchHost } from './dispatchHost.js';
 import { countFittingTasks } from './dispatchMessages.js';
-import { computeOrderKey } from './jobOrder.js';
+import { ForecastRecord } from './forecastRecord.js';
+import { findHopelessJobs, type HopelessJob } from './hopelessJobs.js';
+import { computeOrderKey, highestPriority } from './jobOrder.js';
 import type { JobRow } from './jobTable.js';
 import type { RejectionReason } from './jobs.js';
 import { computeFreeCapacity, isEligible, createPlacementRequest } from './placement.js';
+import { UrgentReserve } from './urgentReserve.js';
 
 /** Retry hint when it is not derived from a forecast wait. */
 export const defaultRetryAfterMs = 2000;
@@ -19,72 +26,98 @@
 	readonly inputs: LogFields;
 }
 
-/** An entry's state on the arrival of a job. */
-export interface AdmissionContext {
-	/** Connected agents of the job's pool. */
-	readonly pool: readonly AgentRow[];
-	readonly waitingJobs: Iterable<JobRow>;
-	readonly entryCount: number;
-	readonly meanTaskMs: number;
-	readonly nowMs: number;
-	readonly random: () => number;
-}
+/** Admission of the jobs of one entry. */
+export class JobAdmission {
+	/** Capacity that is kept free for urgent jobs. */
+	readonly reserve = new UrgentReserve();
+	private readonly _record = new ForecastRecord();
 
-/**
- * Decides whether a job is admitted.
- *
- * @returns `undefined` when the job is admitted
- * @example
- * const rejection = checkAdmission(job, { pool, waitingJobs, entryCount: 3, meanTaskMs: 300, nowMs, random: Math.random });
- */
-export function checkAdmission(job: JobRow, context: AdmissionContext): JobRejection | undefined {
-	const { request } = job;
-	const { pool, nowMs } = context;
-	if (!pool.some(({ state }) => state.isAccepting)) {
-		return { reason: 'noWorkers', retryAfterMs: defaultRetryAfterMs, inputs: { agents: pool.length } };
-	}
-	if (!pool.some(({ state }) => countFittingTasks(request.needs, state.capacity) > 0)) {
-		const inputs = { cpuMillis: request.needs.cpuMillis, memoryMb: request.needs.memoryMb };
-		return { reason: 'doesNotFit', retryAfterMs: defaultRetryAfterMs, inputs };
-	}
-	const placement = createPlacementRequest(request, new Set());
-	const taskCpuMillis = Math.max(1, request.needs.cpuMillis);
-	let freeSlots = 0;
-	let busySlots = 0;
-	for (const agent of pool) {
-		if (isEligible(agent, placement)) {
-			freeSlots += countFittingTasks(request.needs, computeFreeCapacity(agent));
-			busySlots += (agent.state.used.cpuMillis + agent.unreportedNeeds.cpuMillis) / taskCpuMillis;
+	constructor(
+		private readonly _host: IDispatchHost,
+		private readonly _agents: AgentTable,
+	) {}
+
+	/**
+	 * Decides whether a job that arrives is admitted.
+	 *
+	 * @param meanTaskMs mean duration of running tasks
+	 * @returns `undefined` when the job is admitted
+	 * @example
+	 * const rejection = admission.check(job, waitingJobs, 300, nowMs);
+	 */
+	check(
+		job: JobRow,
+		waitingJobs: Iterable<JobRow>,
+		meanTaskMs: number,
+		nowMs: number,
+	): JobRejection | undefined {
+		const { request } = job;
+		const { maxWaitShare } = this._record;
+		const entryCount = this._host.entryCount();
+		const pool = this._agents.getConnectedInPool(request.pool);
+		if (!pool.some(({ state }) => state.isAccepting)) {
+			return { reason: 'noWorkers', retryAfterMs: defaultRetryAfterMs, inputs: { agents: pool.length } };
 		}
-	}
-	const orderKey = computeOrderKey(job, nowMs);
-	let cpuAheadMillis = 0;
-	for (const other of context.waitingJobs) {
-		if (computeOrderKey(other, nowMs) <= orderKey) {
-			cpuAheadMillis += other.waitingTaskCount * other.request.needs.cpuMillis;
+		if (!pool.some(({ state }) => countFittingTasks(request.needs, state.capacity) > 0)) {
+			const inputs = { cpuMillis: request.needs.cpuMillis, memoryMb: request.needs.memoryMb };
+			return { reason: 'doesNotFit', retryAfterMs: defaultRetryAfterMs, inputs };
 		}
-	}
-	const slackMs = job.latestStartMs - nowMs;
-	const { isAdmitted, waitMs, retryAfterMs } = decideAdmission(
-		{
-			taskCount: request.taskCount,
-			freeSlots,
-			busySlots,
+		const placement = createPlacementRequest(request, new Set(), this.reserve.getShare(request, nowMs));
+		const taskCpuMillis = Math.max(1, request.needs.cpuMillis);
+		let freeSlots = 0;
+		let busySlots = 0;
+		for (const agent of pool) {
+			if (isEligible(agent, placement)) {
+				freeSlots += countFittingTasks(request.needs, computeFreeCapacity(agent, placement));
+				busySlots += (agent.state.used.cpuMillis + agent.unreportedNeeds.cpuMillis) / taskCpuMillis;
+			}
+		}
+		const orderKey = computeOrderKey(job, nowMs);
+		let cpuAheadMillis = 0;
+		for (const other of waitingJobs) {
+			if (computeOrderKey(other, nowMs) <= orderKey) {
+				cpuAheadMillis += other.waitingTaskCount * other.request.needs.cpuMillis;
+			}
+		}
+		const slackMs = (job.latestStartMs - nowMs) * (request.priority === highestPriority ? 1 : maxWaitShare);
+		const { isAdmitted, waitMs, retryAfterMs } = decideAdmission(
+			{
+				taskCount: request.taskCount,
+				freeSlots,
+				busySlots,
+				tasksAhead: cpuAheadMillis / taskCpuMillis,
+				entryCount: entryCount,
+				meanTaskMs: meanTaskMs,
+				slackMs,
+			},
+			() => this._host.random(),
+		);
+		if (isAdmitted) {
+			return undefined;
+		}
+		const inputs = {
+			...{ forecastWaitMs: waitMs, slackMs, busySlots },
 			tasksAhead: cpuAheadMillis / taskCpuMillis,
-			entryCount: context.entryCount,
-			meanTaskMs: context.meanTaskMs,
-			slackMs,
-		},
-		context.random,
-	);
-	if (isAdmitted) {
-		return undefined;
+			entryCount: entryCount,
+			meanTaskMs: meanTaskMs,
+			maxWaitPercent: 100 * maxWaitShare,
+		};
+		return { reason: 'overloaded', retryAfterMs, inputs };
+	}
+
+	/** Returns the jobs that arrived just now and should be rejected after all. */
+	findHopelessJobs(jobs: readonly JobRow[], meanTaskMs: number, nowMs: number): readonly HopelessJob[] {
+		const { maxWaitShare } = this._record;
+		const entryCount = this._host.entryCount();
+		return findHopelessJobs(jobs, { agents: this._agents, entryCount, meanTaskMs, maxWaitShare, nowMs });
+	}
+
+	/** Records whether admitted jobs started, or missed their latest start. */
+	recordResults(jobs: readonly JobRow[], result: 'started' | 'missed'): void {
+		for (const { request } of jobs) {
+			if (request.priority !== highestPriority) {
+				this._record.addJob(result);
+			}
+		}
 	}
-	const inputs = {
-		forecastWaitMs: Math.round(Math.min(waitMs, 1e6)),
-		slackMs: Math.round(slackMs),
-		freeSlots,
-		busySlots: Math.round(busySlots),
-	};
-	return { reason: 'overloaded', retryAfterMs, inputs };
 }
--- a/src/dispatch/common/jobTable.ts
+++ b/src/dispatch/common/jobTable.ts
@@ -34,8 +34,10 @@
 	/** Number of tasks that wait for a worker with room. */
 	waitingTaskCount: number;
 	doneTaskCount: number;
-	/** Whether any task has been sent to an agent. */
+	/** Whether any task may have run: it was sent to an agent, and the agent has not refused it. */
 	hasStarted: boolean;
+	/** Number of starts that were sent to agents and not refused. */
+	unrefusedStartCount: number;
 	state: JobState;
 	/** Callbacks for the outcome; one for each waiting caller of the same request. */
 	readonly listeners: Set<(outcome: JobOutcome) => void>;
@@ -49,11 +51,15 @@
 /** Time reserved for sending the answer back to the caller. */
 const responseReserveMs = 8;
 
+/** Returns the time after its arrival within which a job should end. */
+export function computeObjectiveMs({ stretch, estimateMs, objectiveMs }: JobRequest): number {
+	return stretch * estimateMs + objectiveMs;
+}
+
 /** Creates the state of a job that has just arrived. */
 export function createJobRow(request: JobRequest, nowMs: number): JobRow {
-	const objectiveMs = request.stretch * request.estimateMs + request.objectiveMs;
 	const arrivedMs = nowMs - (request.waitedMs ?? 0);
-	const latestStartMs = arrivedMs + objectiveMs - request.estimateMs - responseReserveMs;
+	const latestStartMs = arrivedMs + computeObjectiveMs(request) - request.estimateMs - responseReserveMs;
 	return {
 		request,
 		arrivedMs,
@@ -63,12 +69,30 @@
 		waitingTaskCount: request.taskCount,
 		doneTaskCount: 0,
 		hasStarted: false,
+		unrefusedStartCount: 0,
 		state: 'queued',
 		listeners: new Set(),
 		trace: [],
 	};
 }
 
+/** Updates a job when one of its waiting tasks is sent to an agent. */
+export function recordStart(job: JobRow): void {
+	job.waitingTaskCount -= 1;
+	job.unrefusedStartCount += 1;
+	job.hasStarted = true;
+	job.state = 'running';
+}
+
+/** Updates a job when an agent has refused one of its starts. If all were refused, no task of the job has run. */
+export function recordRefusedStart(job: JobRow): void {
+	job.unrefusedStartCount -= 1;
+	if (job.unrefusedStartCount === 0) {
+		job.hasStarted = false;
+		job.state = 'queued';
+	}
+}
+
 /**
  * Appends a step to a job's trace: the milliseconds since its arrival, the step, the task and its run, and the agent.
  *
--- a/src/dispatch/common/placement.ts
+++ b/src/dispatch/common/placement.ts
@@ -37,6 +37,8 @@
 	readonly preferredLabel?: string | undefined;
 	readonly awayFactor: number;
 	readonly isCapacityEnforced: boolean;
+	/** Share of a worker's capacity that the task leaves free for more urgent tasks. */
+	readonly reservedShare: number;
 	/** Agents at which the task has failed, or was refused as unhealthy, not accepting or invalid. */
 	readonly excludedAgentIds: ReadonlySet<string>;
 }
@@ -45,6 +47,7 @@
 export function createPlacementRequest(
 	request: JobRequest,
 	excludedAgentIds: ReadonlySet<string>,
+	reservedShare = 0,
 ): PlacementRequest {
 	const { pool, needs, estimateMs, requiredLabel, preferredLabel, awayFactor, isCapacityEnforced } = request;
 	return {
@@ -55,13 +58,21 @@
 		preferredLabel,
 		awayFactor,
 		isCapacityEnforced,
+		reservedShare,
 		excludedAgentIds,
 	};
 }
 
-/** Returns the free capacity of a worker, less the starts that its state does not include yet. */
-export function computeFreeCapacity({ state, unreportedNeeds }: WorkerView): TaskNeeds {
-	return addNeeds(addNeeds(state.capacity, state.used, -1), unreportedNeeds, -1);
+/**
+ * Returns the capacity of a worker that is free for a task: less the starts that the worker's state does not include yet,
+ * and less the reserve for urgent tasks.
+ */
+export function computeFreeCapacity(
+	{ state, unreportedNeeds }: WorkerView,
+	{ reservedShare }: Pick<PlacementRequest, 'reservedShare'>,
+): TaskNeeds {
+	const unused = addNeeds(addNeeds(state.capacity, state.used, -1), unreportedNeeds, -1);
+	return addNeeds(unused, state.capacity, -reservedShare);
 }
 
 /** Returns whether a worker may get the task, regardless of its free capacity. */
@@ -109,7 +120,7 @@
 	let earliestEndMs = Infinity;
 	for (const worker of workers) {
 		const freeSlots = isEligible(worker, request)
-			? countFittingTasks(request.needs, computeFreeCapacity(worker))
+			? countFittingTasks(request.needs, computeFreeCapacity(worker, request))
 			: 0;
 		if (freeSlots === 0) {
 			continue;
--- a/src/dispatch/common/significantStateChange.ts
+++ b/src/dispatch/common/significantStateChange.ts
@@ -10,6 +10,8 @@
 const minSpeedChange = 0.1;
 /** Least reported change of a pace below {@link laggardPaceThreshold}; entries move runs because of such paces. */
 const minLowPaceChange = 0.02;
+/** Least reported change of the used resources, as a share of what remains free. */
+const minRoomChangeShare = 0.5;
 /** Least reported rise of the failed runs; a decay is not reported. */
 const minFailedEndsRise = 0.25;
 
@@ -32,7 +34,7 @@
 		lastReported.isAccepting !== next.isAccepting ||
 		lastReported.isCapacityGuessed !== next.isCapacityGuessed ||
 		!areNeedsEqual(lastReported.capacity, next.capacity) ||
-		!areNeedsEqual(lastReported.used, next.used) ||
+		isSignificantRoomChange(lastReported, next) ||
 		lastReported.failureStreak !== next.failureStreak ||
 		next.failedEnds - lastReported.failedEnds >= minFailedEndsRise ||
 		Math.abs(lastReported.speed - next.speed) >= minSpeedChange ||
@@ -41,6 +43,22 @@
 	);
 }
 
+/**
+ * Returns whether the free room has changed by a share that matters: where much is free, entries choose well by an older
+ * view, and where little is free, each slot counts.
+ */
+function isSignificantRoomChange(lastReported: WorkerState, next: WorkerState): boolean {
+	const resources = ['cpuMillis', 'memoryMb', 'accelerators'] as const;
+	return resources.some((resource) => {
+		const change = Math.abs(next.used[resource] - lastReported.used[resource]);
+		const free = Math.max(
+			0,
+			next.capacity[resource] - Math.max(next.used[resource], lastReported.used[resource]),
+		);
+		return change > 0 && change >= minRoomChangeShare * free;
+	});
+}
+
 function areNeedsEqual(left: WorkerState['used'], right: WorkerState['used']): boolean {
 	return (
 		left.cpuMillis === right.cpuMillis &&
--- a/src/dispatch/common/taskPlacer.ts
+++ b/src/dispatch/common/taskPlacer.ts
@@ -2,8 +2,9 @@
 
 import { addRun, assignStartSequence, type AgentRow, type AgentTable } from './agentTable.js';
 import type { JobStart, StartTasksMessage } from './dispatchMessages.js';
-import { traceStep, type JobRow, type TaskRow } from './jobTable.js';
+import { recordStart, traceStep, type JobRow, type TaskRow } from './jobTable.js';
 import { chooseWorker, isEligible, createPlacementRequest, type PlacementRequest } from './placement.js';
+import type { UrgentReserve } from './urgentReserve.js';
 
 /** Weight of a newly placed task in the moving average of estimated durations. */
 const newTaskWeight = 0.02;
@@ -18,6 +19,7 @@
 
 	constructor(
 		private readonly _agents: AgentTable,
+		private readonly _reserve: UrgentReserve,
 		private readonly _send: (connectionId: number, message: StartTasksMessage) => void,
 		private readonly _random: () => number,
 	) {}
@@ -58,7 +60,11 @@
 			if (task.phase !== 'waiting') {
 				continue;
 			}
-			const placement = createPlacementRequest(job.request, task.excludedAgentIds);
+			const placement = createPlacementRequest(
+				job.request,
+				task.excludedAgentIds,
+				this._reserve.getShare(job.request, nowMs),
+			);
 			const agent = chooseWorker(this._agents.all, placement, this._random);
 			if (agent !== undefined) {
 				this._addStart(job, task, agent, starts);
@@ -88,9 +94,7 @@
 		task.phase = 'placed';
 		task.run += 1;
 		task.agentId = agent.agentId;
-		job.waitingTaskCount -= 1;
-		job.hasStarted = true;
-		job.state = 'running';
+		recordStart(job);
 		this._meanTaskMs += newTaskWeight * (request.estimateMs - this._meanTaskMs);
 		addRun(agent, job, task);
 		const byJob = starts.get(agent) ?? new Map<JobRow, JobStart>();
--- a/src/dispatch/common/test/dispatchCore.test.ts
+++ b/src/dispatch/common/test/dispatchCore.test.ts
@@ -311,6 +311,69 @@
 	t.is(harness.core.jobCount, 0);
 });
 
+test('a job that has just arrived is rejected when more urgent ones overtake it', (t) => {
+	const harness = new Harness();
+	harness.connect(1, 'agent-1');
+	const capacity = { cpuMillis: 32_000, memoryMb: 8000, accelerators: 0 };
+	harness.report(1, {}, { capacity, used: capacity });
+	harness.submit({ jobId: 'first', priority: 1, estimateMs: 200 });
+	harness.nowMs = 5;
+	harness.submit({ jobId: 'urgent', taskCount: 6, priority: 0 });
+	t.like(harness.outcomes[0], { kind: 'rejected', reason: 'overloaded' });
+	t.is(harness.core.getJobState('first'), undefined);
+	t.is(harness.core.getJobState('urgent'), 'queued');
+	t.is(harness.core.counters.rejectedLate, 0);
+});
+
+test('a job that has waited is kept until its latest start, although more urgent ones overtake it', (t) => {
+	const harness = new Harness();
+	harness.connect(1, 'agent-1');
+	const capacity = { cpuMillis: 32_000, memoryMb: 8000, accelerators: 0 };
+	harness.report(1, {}, { capacity, used: capacity });
+	harness.submit({ jobId: 'first', priority: 1, estimateMs: 200 });
+	harness.nowMs = 30;
+	harness.submit({ jobId: 'urgent', taskCount: 6, priority: 0 });
+	t.is(harness.core.getJobState('first'), 'queued');
+	harness.advance(150);
+	t.is(harness.core.getJobState('first'), undefined);
+	t.is(harness.core.counters.rejectedLate, 1);
+});
+
+test('a job whose starts were all refused is rejected, since none of its tasks has run', (t) => {
+	const harness = new Harness();
+	harness.connect(1, 'agent-1');
+	harness.report(1);
+	harness.submit();
+	const [run] = harness.getStartedRuns(1);
+	harness.report(
+		1,
+		{ ends: [{ ...run!, end: 'refused', reason: 'noRoom' }] },
+		{ used: { cpuMillis: 8000, memoryMb: 100, accelerators: 0 } },
+	);
+	harness.advance(400);
+	t.like(harness.outcomes[0], { kind: 'rejected', reason: 'overloaded' });
+});
+
+test('a job of which one start was refused and another one was lost is abandoned, since it may have run', (t) => {
+	const harness = new Harness();
+	harness.connect(1, 'agent-1');
+	harness.report(1);
+	harness.submit({ taskCount: 2 });
+	const [first, second] = harness.getStartedRuns(1);
+	harness.report(
+		1,
+		{
+			ends: [
+				{ ...first!, end: 'refused', reason: 'noRoom' },
+				{ ...second!, end: 'lost' },
+			],
+		},
+		{ used: { cpuMillis: 8000, memoryMb: 100, accelerators: 0 } },
+	);
+	harness.advance(4990);
+	t.like(harness.outcomes[0], { kind: 'abandoned' });
+});
+
 test('a job is rejected with doesNotFit when it fits no worker, and with noWorkers when its pool has none', (t) => {
 	const harness = createHarnessWithTwoAgents();
 	harness.submit({ jobId: 'a', needs: { cpuMillis: 9000, memoryMb: 1, accelerators: 0 } });
--- a/src/dispatch/common/test/placement.test.ts
+++ b/src/dispatch/common/test/placement.test.ts
@@ -10,6 +10,7 @@
 	estimateMs: 100,
 	awayFactor: 1.5,
 	isCapacityEnforced: true,
+	reservedShare: 0,
 	excludedAgentIds: new Set(),
 };
 
