Raise the fencing token when a worker restarts, and test agents without fences

Cause: an unanswered start may be carried out 2 to 12 s late. If the worker has restarted under its ID meanwhile, its ID matches, its clock begins anew so that the lease of the order lies ahead, and the agent goes on with the same token: the run started beside the one that took its place.

Ruled out: stops and holds of the earlier life, which name old runs and old ends only; a late start at a worker that has not restarted (its lease is past).

Change: the token rises by one with each worker life. Tests with workers that check tokens and ones that check none: an agent whose clock was set back, a start that is carried out late, a paused agent.

Measured: taskExecutor.test.ts, 'an order to the earlier life' failed before with 'started', passes now. A worker that checks no tokens still runs such an order until the agent's next poll stops it.

--- a/src/dispatch/common/workerLease.ts
+++ b/src/dispatch/common/workerLease.ts
@@ -56,8 +56,12 @@
 		return this._fencingToken;
 	}
 
-	/** Discards the clock offset and the lease when the worker changes or restarts. */
+	/**
+	 * Discards the clock offset and the lease when the worker changes or restarts, and raises the fencing token. A restarted
+	 * worker may keep its ID and its clock begins anew, so that only the token tells late orders to its earlier life apart.
+	 */
 	reset(): void {
+		this._fencingToken += 1;
 		this._clockOffsetMs = undefined;
 		this._expiresAtMs = -Infinity;
 	}
--- a/src/dispatch/node/test/fakeTaskWorker.ts
+++ b/src/dispatch/node/test/fakeTaskWorker.ts
@@ -31,6 +31,8 @@
 	stopHandling: OrderHandling = 'answered';
 	holdHandling: OrderHandling = 'answered';
 	highestToken = 0;
+	/** Whether orders with a lower token than the highest one are refused. */
+	checksTokens = true;
 	bornAtMs: number | undefined = 1000;
 	acknowledgedEnd = 0;
 	/** Number of starts that were carried out but timed out without an answer. */
@@ -45,6 +47,15 @@
 		super();
 	}
 
+	/** Restarts the worker under its ID: it knows nothing of its earlier life. */
+	restart(bornAtMs: number): void {
+		this.running.clear();
+		this.ended.length = 0;
+		this._lastStoppedRuns.clear();
+		this.highestToken = 0;
+		this.bornAtMs = bornAtMs;
+	}
+
 	/** Ends a run and lists its end. */
 	endRun(task: TaskRunRef, end: EndedTask['end']): void {
 		this.running.delete(getTaskKey(task));
@@ -57,7 +68,7 @@
 		if (this.startHandling === 'lost') {
 			return this._timeOut();
 		}
-		if (order.fencingToken < this.highestToken) {
+		if (this.checksTokens && order.fencingToken < this.highestToken) {
 			return { kind: 'refused', reason: 'fenced' };
 		}
 		this.highestToken = order.fencingToken;
@@ -98,9 +109,10 @@
 		if (this.holdHandling !== 'answered') {
 			return this._timeOut();
 		}
-		if (order.fencingToken < this.highestToken) {
+		if (this.checksTokens && order.fencingToken < this.highestToken) {
 			return { kind: 'refused', reason: 'fenced' };
 		}
+		this.highestToken = Math.max(this.highestToken, order.fencingToken);
 		this.leaseUntilMs = Math.max(this.leaseUntilMs, order.leaseUntilMs ?? 0);
 		this.acknowledgedEnd = order.acknowledgedEnd;
 		this.beforeHoldAnswer();
--- a/src/dispatch/node/test/taskExecutor.test.ts
+++ b/src/dispatch/node/test/taskExecutor.test.ts
@@ -4,7 +4,7 @@
  */
 
 import test, { type ExecutionContext } from 'ava';
-import { monotonicClock } from '../../../base/common/clock.js';
+import { monotonicClock, type IClock } from '../../../base/common/clock.js';
 import { nullLogService } from '../../../services/log/common/log.js';
 import type { AgentReportMessage, TaskEndReport, WorkerState } from '../../common/dispatchMessages.js';
 import type { WorkerAnnouncement } from '../../common/taskWorker.js';
@@ -38,6 +38,7 @@
 		t: ExecutionContext,
 		prepare: (worker: FakeTaskWorker) => void = () => undefined,
 		presumedWorker?: WorkerAnnouncement,
+		clock: IClock = monotonicClock,
 	) {
 		prepare(this.worker);
 		this.executor = new TaskExecutor(
@@ -51,7 +52,7 @@
 				workerAddress: '127.0.0.1:1',
 				fencingToken: 100,
 				presumedWorker,
-				clock: monotonicClock,
+				clock,
 				log: nullLogService,
 			},
 		);
@@ -238,6 +239,89 @@
 	t.true((harness.worker.stops.at(-1)?.fencingToken ?? 0) > 160);
 });
 
+for (const checksTokens of [true, false]) {
+	const workerKind = checksTokens
+		? 'a worker that checks fencing tokens'
+		: 'a worker that checks no fencing tokens';
+
+	test(`${workerKind}: an agent whose clock was set back stops the runs of its earlier incarnation before it accepts tasks`, async (t) => {
+		const harness = new Harness(t, (worker) => {
+			worker.checksTokens = checksTokens;
+			worker.highestToken = 160;
+			worker.running.set('old/0', { jobId: 'old', taskIndex: 0, run: 3, percent: 10 });
+			worker.stopHandling = 'lost';
+		});
+		harness.announce();
+		harness.executor.handleEntryConnected(1, 'entry-1', 'life-1');
+		await waitUntil(() => harness.worker.stops.length > 0);
+		t.is(harness.state, undefined);
+		harness.worker.stopHandling = 'answered';
+		await waitUntil(() => harness.state?.isAccepting === true);
+		t.is(harness.worker.running.size, 0);
+	});
+
+	test(`${workerKind}: a start that is carried out seconds late has no effect`, async (t) => {
+		const harness = new Harness(t, (worker) => {
+			worker.checksTokens = checksTokens;
+		});
+		await harness.makeReady();
+		harness.worker.startHandling = 'lost';
+		harness.worker.stopHandling = 'lost';
+		harness.start(1, 'job');
+		await waitUntil(() => harness.worker.stops.length > 0);
+		const late = harness.worker.starts[0]!;
+		await waitUntil(() => performance.now() > late.leaseUntilMs);
+		harness.worker.startHandling = 'answered';
+		t.like(await harness.worker.start(late), { kind: 'refused', reason: 'leasePast' });
+	});
+
+	test(`${workerKind}: an agent that was paused starts nothing with the lease that it computes from its old clock`, async (t) => {
+		let pausedMs = 0;
+		const clock: IClock = { nowMs: () => monotonicClock.nowMs() - pausedMs };
+		const harness = new Harness(
+			t,
+			(worker) => {
+				worker.checksTokens = checksTokens;
+			},
+			undefined,
+			clock,
+		);
+		await harness.makeReady();
+		pausedMs = 2000;
+		harness.start(1, 'job');
+		await waitUntil(() => harness.ends().length === 1);
+		t.like(harness.ends()[0], { jobId: 'job', end: 'refused' });
+		t.true(harness.worker.starts.every(({ leaseUntilMs }) => leaseUntilMs < performance.now()));
+		t.is(harness.worker.running.size, 0);
+		// The next answer of the worker corrects the clock.
+		let run = 0;
+		await waitUntil(() => {
+			run += 1;
+			harness.start(1, `next-${run}`);
+			return harness.worker.running.size > 0;
+		});
+		t.true(harness.worker.leaseUntilMs - performance.now() <= leaseDurationMs);
+	});
+}
+
+test('an order to the earlier life of a worker that restarted under its ID is refused when it is carried out late', async (t) => {
+	const harness = new Harness(t);
+	await harness.makeReady();
+	harness.worker.startHandling = 'lost';
+	harness.start(1, 'job');
+	await waitUntil(() => harness.worker.starts.length > 0);
+	const late = harness.worker.starts[0]!;
+	harness.worker.restart(2000);
+	harness.worker.startHandling = 'answered';
+	await waitUntil(() => harness.ends().length === 1);
+	await waitUntil(() => harness.worker.highestToken > 0);
+	// The clock of the new life begins anew, so that the lease of the order is not past there.
+	t.like(await harness.worker.start({ ...late, leaseUntilMs: performance.now() + 500 }), {
+		kind: 'refused',
+		reason: 'fenced',
+	});
+});
+
 test('a leaving worker gets no new tasks and keeps its runs until it has left', async (t) => {
 	const harness = new Harness(t);
 	await harness.makeReady();
