--- a/src/services/transport/node/frameConnection.ts
+++ b/src/services/transport/node/frameConnection.ts
@@ -4,6 +4,7 @@
 import { describeError } from '../../../base/common/errors.js';
 import { Disposable, toDisposable } from '../../../base/common/disposable.js';
 import { Emitter } from '../../../base/common/event.js';
+import { startSharedInterval } from '../../../base/node/sharedInterval.js';
 import { FrameDecoder, FrameEncoder } from '../common/frameCodec.js';
 import {
 	TransportError,
@@ -113,13 +114,14 @@
 				this._close(`The handshake did not end within ${handshakeTimeoutMs} ms.`);
 			}
 		}, handshakeTimeoutMs);
-		const heartbeatTimer = setInterval(() => {
-			this._checkLiveness();
-		}, heartbeatIntervalMs);
+		this._register(
+			startSharedInterval(() => {
+				this._checkLiveness();
+			}, heartbeatIntervalMs),
+		);
 		this._register(
 			toDisposable(() => {
 				clearTimeout(handshakeTimer);
-				clearInterval(heartbeatTimer);
 			}),
 		);
 	}
