End only the connection of a message that can't be handled, and check dispatch messages

Cause: an agent's report without 'ends' threw in the handler of the socket, and the entry process ended with process.unexpectedError (shown by a script that sends one: 'report.ends is not iterable', uncaught). A report with an unreadable state would have been kept, and would have failed later, in a timer.

Ruled out: schemas from the library for each report, the most frequent message of the system.

Other messages (views, routing, replication) have no check of their own before they are kept; an error while they are handled ends their connection now.

--- a/src/dispatch/node/dispatcher.ts
+++ b/src/dispatch/node/dispatcher.ts
@@ -5,13 +5,9 @@
 import type { ILogService, LogFields } from '../../services/log/common/log.js';
 import type { IConnection, Message } from '../../services/transport/common/transport.js';
 import { DispatchCore } from '../common/dispatchCore.js';
+import { isAgentReport, isCancelJob, readMessage } from '../common/dispatchMessageChecks.js';
 import type { IDispatchHost } from '../common/dispatchHost.js';
-import type {
-	AgentReportMessage,
-	CancelJobMessage,
-	StartTasksMessage,
-	StopTasksMessage,
-} from '../common/dispatchMessages.js';
+import type { CancelJobMessage, StartTasksMessage, StopTasksMessage } from '../common/dispatchMessages.js';
 import type { JobOutcome, JobRequest, JobState } from '../common/jobs.js';
 import { JobTimeHistogram } from './jobTimeHistogram.js';
 import { reconnectGraceMs } from './lostEntryMonitor.js';
@@ -122,7 +118,7 @@
 		if (connection.peer.role === 'entry') {
 			connection.onDidReceive((message) => {
 				if (message.kind === 'cancelJob') {
-					this._core.cancel((message as CancelJobMessage).jobId, 'asked', this._nowMs());
+					this._core.cancel(readMessage(message, isCancelJob).jobId, 'asked', this._nowMs());
 				}
 			});
 			return;
@@ -133,8 +129,11 @@
 		this._connections.set(connectionId, connection);
 		this._core.handleAgentConnected(connectionId, processId, incarnation, this._nowMs());
 		connection.onDidReceive((message) => {
-			const isReport = message.kind === 'agentReport';
-			if (isReport && this._core.handleReport(connectionId, message as AgentReportMessage, this._nowMs())) {
+			if (message.kind !== 'agentReport') {
+				return;
+			}
+			const report = readMessage(message, isAgentReport);
+			if (this._core.handleReport(connectionId, report, this._nowMs())) {
 				this._queueSchedule();
 			}
 		});
--- a/src/services/transport/node/frameConnection.ts
+++ b/src/services/transport/node/frameConnection.ts
@@ -216,7 +216,16 @@
 			return;
 		}
 		if (message.kind !== pingFrame.kind) {
-			this._onDidReceive.fire(message as Message);
+			this._deliver(message as Message);
+		}
+	}
+
+	/** Passes a message on. A failure to handle it ends just this connection; its owner logs the reason. */
+	private _deliver(message: Message): void {
+		try {
+			this._onDidReceive.fire(message);
+		} catch (error) {
+			this._close(`A message of the kind "${message.kind}" could not be handled: ${describeError(error)}`);
 		}
 	}
 
--- a/src/services/transport/test/frameConnection.test.ts
+++ b/src/services/transport/test/frameConnection.test.ts
@@ -154,3 +154,39 @@
 	t.true(performance.now() - startMs < 900, 'connected before the kernel retransmits the SYN after 1 s');
 	store.dispose();
 });
+
+test('a message whose handler fails closes just its connection, with the reason', async (t) => {
+	const store = new DisposableStore();
+	const listener = store.add(await FrameListener.listen('127.0.0.1:0', createOptions('entry', 'entry-1')));
+	const received: string[] = [];
+	const closeReason = new Deferred<string>();
+	const isOtherDone = new Deferred<undefined>();
+	listener.onDidConnect((connection) => {
+		connection.onDidReceive((message) => {
+			if (message.kind === 'malformed') {
+				throw new Error('no tasks');
+			}
+			received.push(connection.peer.processId);
+			isOtherDone.resolve(undefined);
+		});
+		connection.onDidClose((reason) => {
+			closeReason.resolve(reason);
+		});
+	});
+	const malformed = store.add(new FrameConnector(listener.address, createOptions('agent', 'agent-1')));
+	const other = store.add(new FrameConnector(listener.address, createOptions('agent', 'agent-2')));
+	const otherConnection = new Deferred<IConnection>();
+	other.onDidConnect((connection) => {
+		otherConnection.resolve(connection);
+	});
+	const malformedConnection = new Deferred<IConnection>();
+	malformed.onDidConnect((connection) => {
+		malformedConnection.resolve(connection);
+	});
+	(await malformedConnection.promise).send({ kind: 'malformed' });
+	t.regex(await closeReason.promise, /"malformed" could not be handled: no tasks/);
+	(await otherConnection.promise).send({ kind: 'readable' });
+	await isOtherDone.promise;
+	t.deepEqual(received, ['agent-2']);
+	store.dispose();
+});
