Call a job unstarted only when no agent knows an earlier run of its tasks

Cause: since a job whose starts were all refused is rejected as not run. An agent also refuses a start because it knows an equal run of the task, which another entry may have started for the same caller, so that the refusal could be untrue. Change: such a refusal does not count. Measured: the test fails before (rejected) and passes now.

--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -405,9 +405,10 @@
 
 	private _handleRefusedStart(job: JobRow, task: TaskRow, agent: AgentRow, report: TaskEndReport): void {
 		this.counters.startsRefused += 1;
-		recordRefusedStart(job);
 		if (report.reason === 'olderRun') {
 			task.run = Math.max(task.run, report.knownRun ?? task.run);
+		} else {
+			recordRefusedStart(job);
 		}
 		if (report.reason === 'unhealthy' || report.reason === 'notAccepting' || report.reason === 'invalid') {
 			task.excludedAgentIds.add(agent.agentId);
--- a/src/dispatch/common/jobTable.ts
+++ b/src/dispatch/common/jobTable.ts
@@ -84,7 +84,10 @@
 	job.state = 'running';
 }
 
-/** Updates a job when an agent has refused one of its starts. If all were refused, no task of the job has run. */
+/**
+ * Updates a job when an agent has refused one of its starts and knows no other run of that task. If all starts were refused
+ * like that, no task of the job has run.
+ */
 export function recordRefusedStart(job: JobRow): void {
 	job.unrefusedStartCount -= 1;
 	if (job.unrefusedStartCount === 0) {
--- a/src/dispatch/common/test/dispatchCore.test.ts
+++ b/src/dispatch/common/test/dispatchCore.test.ts
@@ -354,6 +354,21 @@
 	t.like(harness.outcomes[0], { kind: 'rejected', reason: 'overloaded' });
 });
 
+test('a job of which an agent knows an earlier run is abandoned, since it may have run for another entry', (t) => {
+	const harness = new Harness();
+	harness.connect(1, 'agent-1');
+	harness.report(1);
+	harness.submit();
+	const [run] = harness.getStartedRuns(1);
+	harness.report(
+		1,
+		{ ends: [{ ...run!, end: 'refused', reason: 'olderRun', knownRun: 1 }] },
+		{ used: { cpuMillis: 8000, memoryMb: 100, accelerators: 0 } },
+	);
+	harness.advance(4990);
+	t.like(harness.outcomes[0], { kind: 'abandoned' });
+});
+
 test('a job of which one start was refused and another one was lost is abandoned, since it may have run', (t) => {
 	const harness = new Harness();
 	harness.connect(1, 'agent-1');
