Keep no reserve from tasks that need a whole worker, and reserve CPU only

Change: the reserve is of CPU, and does not hold for tasks that never fit beside it. The admission's log line names the longest accepted wait and the slack apart.

--- a/src/dispatch/common/admission.ts
+++ b/src/dispatch/common/admission.ts
@@ -22,8 +22,8 @@
 	readonly entryCount: number;
 	/** Mean duration of running tasks. */
 	readonly meanTaskMs: number;
-	/** Longest wait of the last task with which the job still ends in time; negative when it is late already. */
-	readonly slackMs: number;
+	/** Longest wait of the last task with which the job is admitted; negative when it is late already. */
+	readonly maxWaitMs: number;
 }
 
 /** Result of {@link decideAdmission}. */
@@ -36,13 +36,13 @@
 }
 
 /**
- * Forecasts the wait of a job's last task, and admits the job when it needs no wait or can end in time.
+ * Forecasts the wait of a job's last task, and admits the job when it needs no wait or an acceptable one.
  *
  * @example
  * const { isAdmitted, retryAfterMs } = decideAdmission(inputs, Math.random);
  */
 export function decideAdmission(inputs: AdmissionInputs, random: () => number): AdmissionDecision {
-	const { taskCount, freeSlots, busySlots, tasksAhead, entryCount, meanTaskMs, slackMs } = inputs;
+	const { taskCount, freeSlots, busySlots, tasksAhead, entryCount, meanTaskMs, maxWaitMs } = inputs;
 	const missingSlots = tasksAhead * entryCount + taskCount - freeSlots;
 	// Assumes that the work ahead fills all free slots, and that tasks then end at an even rate, each slot becoming free
 	// once per mean duration.
@@ -50,7 +50,7 @@
 	const waitMs = missingSlots <= 0 ? 0 : slotsFreedPerMs > 0 ? missingSlots / slotsFreedPerMs : Infinity;
 	// A job that needs no wait is admitted even if it will be late: a late answer is better than none when no other job
 	// needs the slots.
-	const isAdmitted = waitMs === 0 || waitMs <= slackMs;
+	const isAdmitted = waitMs === 0 || waitMs <= maxWaitMs;
 	const retrySpreadMs = Math.min(maxRetrySpreadMs, Math.max(minRetryAfterMs, 2 * waitMs));
 	return { isAdmitted, waitMs, retryAfterMs: minRetryAfterMs + random() * retrySpreadMs };
 }
--- a/src/dispatch/common/hopelessJobs.ts
+++ b/src/dispatch/common/hopelessJobs.ts
@@ -14,6 +14,7 @@
  * itself. A rejection counts as late after a quarter of it.
  */
 const decisionShare = 0.2;
+
 /** Inputs of the forecasts. */
 export interface WaitForecastInputs {
 	readonly agents: AgentTable;
@@ -45,7 +46,8 @@
  *
  * @param jobs jobs in the order in which they are placed
  * @example
- * for (const { job } of findHopelessJobs(jobs, { agents, entryCount: 3, meanTaskMs: 230, maxWaitShare: 0.5, nowMs })) { reject(job); }
+ * const inputs = { agents, entryCount: 3, meanTaskMs: 230, maxWaitShare: 0.5, nowMs };
+ * for (const { job } of findHopelessJobs(jobs, inputs)) { reject(job); }
  */
 export function findHopelessJobs(
 	jobs: readonly JobRow[],
--- a/src/dispatch/common/jobAdmission.ts
+++ b/src/dispatch/common/jobAdmission.ts
@@ -79,16 +79,13 @@
 				cpuAheadMillis += other.waitingTaskCount * other.request.needs.cpuMillis;
 			}
 		}
-		const slackMs = (job.latestStartMs - nowMs) * (request.priority === highestPriority ? 1 : maxWaitShare);
+		const slackMs = job.latestStartMs - nowMs;
+		const maxWaitMs = slackMs * (request.priority === highestPriority ? 1 : maxWaitShare);
+		const tasksAhead = cpuAheadMillis / taskCpuMillis;
 		const { isAdmitted, waitMs, retryAfterMs } = decideAdmission(
 			{
 				taskCount: request.taskCount,
-				freeSlots,
-				busySlots,
-				tasksAhead: cpuAheadMillis / taskCpuMillis,
-				entryCount: entryCount,
-				meanTaskMs: meanTaskMs,
-				slackMs,
+				...{ freeSlots, busySlots, tasksAhead, entryCount, meanTaskMs, maxWaitMs },
 			},
 			() => this._host.random(),
 		);
@@ -96,11 +93,8 @@
 			return undefined;
 		}
 		const inputs = {
-			...{ forecastWaitMs: waitMs, slackMs, busySlots },
-			tasksAhead: cpuAheadMillis / taskCpuMillis,
-			entryCount: entryCount,
-			meanTaskMs: meanTaskMs,
-			maxWaitPercent: 100 * maxWaitShare,
+			forecastWaitMs: waitMs,
+			...{ maxWaitMs, slackMs, busySlots, tasksAhead, entryCount, meanTaskMs },
 		};
 		return { reason: 'overloaded', retryAfterMs, inputs };
 	}
--- a/src/dispatch/common/placement.ts
+++ b/src/dispatch/common/placement.ts
@@ -37,7 +37,7 @@
 	readonly preferredLabel?: string | undefined;
 	readonly awayFactor: number;
 	readonly isCapacityEnforced: boolean;
-	/** Share of a worker's capacity that the task leaves free for more urgent tasks. */
+	/** Share of a worker's CPU that the task leaves free for more urgent tasks. */
 	readonly reservedShare: number;
 	/** Agents at which the task has failed, or was refused as unhealthy, not accepting or invalid. */
 	readonly excludedAgentIds: ReadonlySet<string>;
@@ -65,14 +65,17 @@
 
 /**
  * Returns the capacity of a worker that is free for a task: less the starts that the worker's state does not include yet,
- * and less the reserve for urgent tasks.
+ * and less the reserve for urgent tasks, unless the task is so large that it never fits beside the reserve.
  */
 export function computeFreeCapacity(
 	{ state, unreportedNeeds }: WorkerView,
-	{ reservedShare }: Pick<PlacementRequest, 'reservedShare'>,
+	{ needs, reservedShare }: Pick<PlacementRequest, 'needs' | 'reservedShare'>,
 ): TaskNeeds {
-	const unused = addNeeds(addNeeds(state.capacity, state.used, -1), unreportedNeeds, -1);
-	return addNeeds(unused, state.capacity, -reservedShare);
+	const free = addNeeds(addNeeds(state.capacity, state.used, -1), unreportedNeeds, -1);
+	const reservedCpuMillis = reservedShare * state.capacity.cpuMillis;
+	return needs.cpuMillis + reservedCpuMillis > state.capacity.cpuMillis
+		? free
+		: { ...free, cpuMillis: free.cpuMillis - reservedCpuMillis };
 }
 
 /** Returns whether a worker may get the task, regardless of its free capacity. */
--- a/src/dispatch/common/test/placement.test.ts
+++ b/src/dispatch/common/test/placement.test.ts
@@ -86,3 +86,25 @@
 		1,
 	);
 });
+
+test('a task leaves the reserve for urgent tasks free, and an urgent one uses it', (t) => {
+	const worker = createWorker('w', 10, { used: { cpuMillis: 27_000, memoryMb: 0, accelerators: 0 } });
+	const lessUrgent = { ...request, reservedShare: 0.03 };
+	t.is(
+		chooseWorker([worker], request, () => 0.5),
+		worker,
+	);
+	t.is(
+		chooseWorker([worker], lessUrgent, () => 0.5),
+		undefined,
+	);
+});
+
+test('a task that needs a whole worker is placed although there is a reserve', (t) => {
+	const worker = createWorker('w', 10);
+	const needs = { cpuMillis: 30_000, memoryMb: 64, accelerators: 0 };
+	t.is(
+		chooseWorker([worker], { ...request, needs, reservedShare: 0.03 }, () => 0.5),
+		worker,
+	);
+});
--- a/src/dispatch/common/urgentReserve.ts
+++ b/src/dispatch/common/urgentReserve.ts
@@ -7,7 +7,7 @@
 import { highestPriority } from './jobOrder.js';
 import type { JobRequest } from './jobs.js';
 
-/** Share of each worker's capacity that other tasks leave free. */
+/** Share of each worker's CPU that other tasks leave free. */
 const reservedShare = 0.03;
 /** Time after the last job of the highest priority during which capacity is reserved. */
 const reserveDurationMs = 5000;
@@ -23,7 +23,7 @@
 		}
 	}
 
-	/** Returns the share of each worker's capacity that a job's tasks leave free. */
+	/** Returns the share of each worker's CPU that a job's tasks leave free. */
 	getShare({ pool, priority }: JobRequest, nowMs: number): number {
 		const lastUrgentMs = this._lastUrgentMs.get(pool) ?? -Infinity;
 		return priority !== highestPriority && nowMs - lastUrgentMs <= reserveDurationMs ? reservedShare : 0;
