Let an entry that has just started wait for the other workers before it rejects by forecast

Cause: after a restart the first worker reports some 250 ms before the last one. Ruled out: waiting for all 1.5 s of the start, which would hold jobs after a return of power that can't run. Change: 200 ms after the first report; admission holds the time of its start itself. The tests of the core and the replays begin with an entry that has run for long, so that they ask the same as before.

--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -41,8 +41,6 @@
 const deadlineMarginMs = 20;
 /** Interval between health reviews unless a report looks suspect; half of the interval between deadline checks. */
 const healthReviewIntervalMs = 8;
-/** Time after the entry's start during which jobs wait for the first workers to report instead of being rejected. */
-const startupGraceMs = 1500;
 
 /**
  * Admits jobs, places their tasks and tracks them until they end, for one entry.
@@ -60,7 +58,6 @@
 	private readonly _placer: TaskPlacer;
 	private readonly _rejections: JobRejections;
 	private readonly _waitingJobs = new Set<JobRow>();
-	private readonly _startedAtMs: number;
 	private _lastHealthReviewMs = -Infinity;
 
 	constructor(
@@ -68,8 +65,7 @@
 		private readonly _options: DispatchOptions,
 		nowMs: number,
 	) {
-		this._startedAtMs = nowMs;
-		this._admission = new JobAdmission(_host, this._agents);
+		this._admission = new JobAdmission(_host, this._agents, nowMs);
 		this._rejections = new JobRejections(_host, this.counters, this._agents);
 		this._placer = new TaskPlacer(
 			this._agents,
@@ -204,6 +200,7 @@
 			agent.state = { ...agent.state, isAccepting: false };
 			return this._waitingJobs.size > 0;
 		}
+		this._admission.recordReport(nowMs);
 		if (!agent.hasReported) {
 			const { pool, workerId, dataCentre } = report.state;
 			this._host.log('info', 'agent.reported', { agentId: agent.agentId, workerId, pool, dataCentre });
@@ -233,11 +230,7 @@
 	): JobRow | undefined {
 		const job = createJobRow(request, nowMs);
 		this._admission.reserve.recordJob(request, nowMs);
-		const pool = this._agents.getConnectedInPool(request.pool);
-		const shouldAwaitWorkers = pool.length === 0 && nowMs - this._startedAtMs < startupGraceMs;
-		const rejection = shouldAwaitWorkers
-			? undefined
-			: this._admission.check(job, this._waitingJobs, this._placer.meanTaskMs, nowMs);
+		const rejection = this._admission.check(job, this._waitingJobs, this._placer.meanTaskMs, nowMs);
 		if (rejection !== undefined) {
 			const { reason, retryAfterMs, inputs } = rejection;
 			this._rejections.record(job, reason, inputs, nowMs);
--- a/src/dispatch/common/jobAdmission.ts
+++ b/src/dispatch/common/jobAdmission.ts
@@ -19,6 +19,11 @@
 /** Retry hint when it is not derived from a forecast wait. */
 export const defaultRetryAfterMs = 2000;
 
+/** Time after the entry's start during which jobs wait for the first workers to report instead of being rejected. */
+const startupGraceMs = 1500;
+/** Time after the first report of a worker during which the others report; until then, most of the room is not known. */
+const workersSettleMs = 200;
+
 /** Reason for rejecting a job, and the logged inputs of the decision. */
 export interface JobRejection {
 	readonly reason: RejectionReason;
@@ -31,12 +36,19 @@
 	/** Capacity that is kept free for urgent jobs. */
 	readonly reserve = new UrgentReserve();
 	private readonly _record = new ForecastRecord();
+	private _firstReportMs: number | undefined;
 
 	constructor(
 		private readonly _host: IDispatchHost,
 		private readonly _agents: AgentTable,
+		private readonly _startedAtMs: number,
 	) {}
 
+	/** Records that a worker's state was received. */
+	recordReport(nowMs: number): void {
+		this._firstReportMs ??= nowMs;
+	}
+
 	/**
 	 * Decides whether a job that arrives is admitted.
 	 *
@@ -52,6 +64,9 @@
 		nowMs: number,
 	): JobRejection | undefined {
 		const { request } = job;
+		if (this._shouldAwaitWorkers(request.pool, nowMs)) {
+			return undefined;
+		}
 		const { maxWaitShare } = this._record;
 		const entryCount = this._host.entryCount();
 		const pool = this._agents.getConnectedInPool(request.pool);
@@ -103,7 +118,8 @@
 	findHopelessJobs(jobs: readonly JobRow[], meanTaskMs: number, nowMs: number): readonly HopelessJob[] {
 		const { maxWaitShare } = this._record;
 		const entryCount = this._host.entryCount();
-		return findHopelessJobs(jobs, { agents: this._agents, entryCount, meanTaskMs, maxWaitShare, nowMs });
+		const known = jobs.filter(({ request }) => !this._shouldAwaitWorkers(request.pool, nowMs));
+		return findHopelessJobs(known, { agents: this._agents, entryCount, meanTaskMs, maxWaitShare, nowMs });
 	}
 
 	/** Records whether admitted jobs started, or missed their latest start. */
@@ -114,4 +130,13 @@
 			}
 		}
 	}
+
+	/** Returns whether jobs of a pool wait without a forecast, since this entry has just started. */
+	private _shouldAwaitWorkers(pool: string, nowMs: number): boolean {
+		if (nowMs - this._startedAtMs >= startupGraceMs) {
+			return false;
+		}
+		const areSettled = this._firstReportMs !== undefined && nowMs - this._firstReportMs >= workersSettleMs;
+		return !areSettled || this._agents.getConnectedInPool(pool).length === 0;
+	}
 }
--- a/src/dispatch/common/test/dispatchCore.test.ts
+++ b/src/dispatch/common/test/dispatchCore.test.ts
@@ -17,18 +17,23 @@
 	readonly sent: { readonly connectionId: number; readonly message: StartTasksMessage | StopTasksMessage }[] =
 		[];
 	readonly outcomes: JobOutcome[] = [];
-	readonly core = new DispatchCore(
-		{
-			send: (connectionId, message) => {
-				this.sent.push({ connectionId, message });
+	readonly core: DispatchCore;
+
+	/** Creates a core that was started at a time; by default long ago. */
+	constructor(startedAtMs = -10_000) {
+		this.core = new DispatchCore(
+			{
+				send: (connectionId, message) => {
+					this.sent.push({ connectionId, message });
+				},
+				log: () => undefined,
+				entryCount: () => 1,
+				random: () => 0.5,
 			},
-			log: () => undefined,
-			entryCount: () => 1,
-			random: () => 0.5,
-		},
-		{ orphanLifetimeMs },
-		0,
-	);
+			{ orphanLifetimeMs },
+			startedAtMs,
+		);
+	}
 
 	connect(connectionId: number, agentId: string, incarnation = 'life-1'): void {
 		this.core.handleAgentConnected(connectionId, agentId, incarnation, this.nowMs);
@@ -299,6 +304,23 @@
 	t.deepEqual(harness.outcomes, []);
 });
 
+test('an entry that has just started waits for the other workers before it rejects jobs by forecast', (t) => {
+	const harness = new Harness(0);
+	const full = { used: { cpuMillis: 8000, memoryMb: 100, accelerators: 0 } };
+	harness.connect(1, 'agent-1');
+	harness.report(1, {}, full);
+	harness.submit({ jobId: 'early', taskCount: 4 });
+	t.deepEqual(harness.outcomes, []);
+	harness.advance(50);
+	harness.connect(2, 'agent-2');
+	harness.report(2, {}, { capacity: { cpuMillis: 16_000, memoryMb: 8000, accelerators: 0 } });
+	t.is(harness.getStartedRuns(2).length, 4);
+	harness.advance(200);
+	harness.report(2, {}, full);
+	harness.submit({ jobId: 'later', taskCount: 4 });
+	t.like(harness.outcomes[0], { kind: 'rejected', reason: 'overloaded' });
+});
+
 test('a waiting job is rejected as soon as it can no longer end in time', (t) => {
 	const harness = new Harness();
 	harness.connect(1, 'agent-1');
--- a/src/dispatch/common/test/replayLoad.ts
+++ b/src/dispatch/common/test/replayLoad.ts
@@ -140,6 +140,8 @@
 	}));
 }
 
+/** The entries have run for long when a replay begins. */
+const entriesStartedAtMs = -10_000;
 const messageDelayMs = 1.2;
 const progressIntervalMs = 60;
 const minReportDelayMs = 6;
@@ -212,7 +214,9 @@
 		};
 		this.workers = plan.workers.map((worker, index) => new ReplayWorker(this, index, worker));
 		for (let entry = 0; entry < plan.entryCount; entry += 1) {
-			this.cores.push(new DispatchCore(this._createHost(entry), { orphanLifetimeMs: 1300 }, 0));
+			this.cores.push(
+				new DispatchCore(this._createHost(entry), { orphanLifetimeMs: 1300 }, entriesStartedAtMs),
+			);
 		}
 	}
 
