--- a/src/dispatch/common/jobOrder.ts
+++ b/src/dispatch/common/jobOrder.ts
@@ -14,7 +14,7 @@
 
 /**
  * Computes the sort key of a waiting job; the lowest key is placed first. Jobs of the highest priority come first: their
- * tasks are short, so that they wait in vain behind the tasks of others. Then come started jobs, since their work is lost
+ * tasks are short, and waiting behind the tasks of others would make them late. Then come started jobs, since their work is lost
  * unless their other tasks run too, and then jobs that can still end in time, by their latest start and their route's
  * priority. Late jobs come last and only use the remaining capacity.
  *
--- a/src/dispatch/common/workerLease.ts
+++ b/src/dispatch/common/workerLease.ts
@@ -58,7 +58,7 @@
 
 	/**
 	 * Discards the clock offset and the lease when the worker changes or restarts, and raises the fencing token. A restarted
-	 * worker may keep its ID and its clock begins anew, so that only the token tells late orders to its earlier life apart.
+	 * worker may keep its ID, and its clock restarts at 0, so that only the token shows that a late order was for its earlier life.
 	 */
 	reset(): void {
 		this._fencingToken += 1;
--- a/src/dispatch/node/test/taskExecutor.test.ts
+++ b/src/dispatch/node/test/taskExecutor.test.ts
@@ -239,27 +239,27 @@
 	t.true((harness.worker.stops.at(-1)?.fencingToken ?? 0) > 160);
 });
 
+test('at a worker that checks no fencing tokens, an agent whose clock was set back stops earlier runs before it accepts tasks', async (t) => {
+	const harness = new Harness(t, (worker) => {
+		worker.checksTokens = false;
+		worker.highestToken = 160;
+		worker.running.set('old/0', { jobId: 'old', taskIndex: 0, run: 3, percent: 10 });
+		worker.stopHandling = 'lost';
+	});
+	harness.announce();
+	harness.executor.handleEntryConnected(1, 'entry-1', 'life-1');
+	await waitUntil(() => harness.worker.stops.length > 0);
+	t.is(harness.state, undefined);
+	harness.worker.stopHandling = 'answered';
+	await waitUntil(() => harness.state?.isAccepting === true);
+	t.is(harness.worker.running.size, 0);
+});
+
 for (const checksTokens of [true, false]) {
 	const workerKind = checksTokens
 		? 'a worker that checks fencing tokens'
 		: 'a worker that checks no fencing tokens';
 
-	test(`${workerKind}: an agent whose clock was set back stops the runs of its earlier incarnation before it accepts tasks`, async (t) => {
-		const harness = new Harness(t, (worker) => {
-			worker.checksTokens = checksTokens;
-			worker.highestToken = 160;
-			worker.running.set('old/0', { jobId: 'old', taskIndex: 0, run: 3, percent: 10 });
-			worker.stopHandling = 'lost';
-		});
-		harness.announce();
-		harness.executor.handleEntryConnected(1, 'entry-1', 'life-1');
-		await waitUntil(() => harness.worker.stops.length > 0);
-		t.is(harness.state, undefined);
-		harness.worker.stopHandling = 'answered';
-		await waitUntil(() => harness.state?.isAccepting === true);
-		t.is(harness.worker.running.size, 0);
-	});
-
 	test(`${workerKind}: a start that is carried out seconds late has no effect`, async (t) => {
 		const harness = new Harness(t, (worker) => {
 			worker.checksTokens = checksTokens;
@@ -315,7 +315,7 @@
 	harness.worker.startHandling = 'answered';
 	await waitUntil(() => harness.ends().length === 1);
 	await waitUntil(() => harness.worker.highestToken > 0);
-	// The clock of the new life begins anew, so that the lease of the order is not past there.
+	// The clock of the restarted worker starts at 0, so that the lease of the order is not past there.
 	t.like(await harness.worker.start({ ...late, leaseUntilMs: performance.now() + 500 }), {
 		kind: 'refused',
 		reason: 'fenced',
