--- a/src/dispatch/common/jobRejections.ts
+++ b/src/dispatch/common/jobRejections.ts
@@ -26,6 +26,8 @@
 	 * Counts and logs a rejection.
 	 *
 	 * @param inputs what decided it; numbers are rounded
+	 * @example
+	 * rejections.record(job, 'overloaded', { forecastWaitMs, slackMs }, nowMs);
 	 */
 	record(job: JobRow, reason: RejectionReason, inputs: LogFields, nowMs: number): void {
 		const { jobId, route, taskCount } = job.request;
--- a/src/dispatch/common/urgentReserve.ts
+++ b/src/dispatch/common/urgentReserve.ts
@@ -12,7 +12,13 @@
 /** Time after the last job of the highest priority during which capacity is reserved. */
 const reserveDurationMs = 5000;
 
-/** Decides how much capacity is reserved in each pool. */
+/**
+ * Decides how much capacity is reserved in each pool.
+ *
+ * @example
+ * reserve.recordJob(request, nowMs);
+ * const placement = createPlacementRequest(request, new Set(), reserve.getShare(request, nowMs));
+ */
 export class UrgentReserve {
 	private readonly _lastUrgentMs = new Map<string, number>();
 
