--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -67,6 +67,19 @@
 	throw new CannotRun('No free port was found.');
 }
 
+/** Chooses loopback addresses on which the port of the metrics is free. */
+async function findFreeHosts(count) {
+	for (let attempt = 0; attempt < 20; attempt += 1) {
+		const block = 1 + Math.floor(Math.random() * 250);
+		const hosts = Array.from({ length: count }, (_, index) => `127.${block}.0.${index + 1}`);
+		const port = await findFreePort(hosts, metricsPort).catch(() => undefined);
+		if (port !== undefined) {
+			return hosts;
+		}
+	}
+	throw new CannotRun(`Port ${metricsPort} is free on no block of loopback addresses.`);
+}
+
 /** Sends a request and reads its answer; status 0 when none came. */
 export function send(method, address, target, body = '', { headers = {}, timeoutMs = 5000, agent } = {}) {
 	const [host, port] = address.split(':');
@@ -155,12 +168,7 @@
 
 	/** Chooses addresses and ports, and starts the keepers, entries and agents. Some keepers may be added later. */
 	async start({ keepers, laterKeepers = 0, entries = 0, agents = 0, service = '' }) {
-		const block = 1 + Math.floor(Math.random() * 250);
-		const hosts = Array.from(
-			{ length: keepers + laterKeepers + entries + agents },
-			(_, index) => `127.${block}.0.${index + 1}`,
-		);
-		await findFreePort(hosts, metricsPort);
+		const hosts = await findFreeHosts(keepers + laterKeepers + entries + agents);
 		const ports = [];
 		for (let index = 0; index < 5; index += 1) {
 			ports.push(await findFreePort(hosts));
@@ -421,6 +429,13 @@
 	const hasTrouble = process.env.TROUBLE !== '0';
 	recorder.note(hasTrouble ? 'with the disruption' : 'without the disruption');
 	let exitCode = 2;
+	for (const signal of ['SIGTERM', 'SIGINT']) {
+		process.on(signal, () => {
+			recorder.note(`the script gets ${signal}`);
+			recorder.save();
+			deployment.stop().finally(() => process.exit(2));
+		});
+	}
 	try {
 		const faults = await play(deployment, recorder, hasTrouble);
 		for (const fault of faults) {
