--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -380,10 +380,10 @@
 	 * Sends a job that needn't be stored, and sends it again `resendMs` after no response, a broken channel, 502 or 504, to
 	 * the next of the entries.
 	 */
-	async runJob(entries, id, job, attempts = 3) {
+	async runJob(entries, id, job, { attempts = 3, timeLimitMs = bounds.timeLimitMs } = {}) {
 		let answer;
 		for (let attempt = 0; attempt < attempts; attempt += 1) {
-			answer = await this.sendJob(entries[attempt % entries.length], id, job);
+			answer = await this.sendJob(entries[attempt % entries.length], id, job, timeLimitMs);
 			if (![0, 502, 504].includes(answer.status)) {
 				return answer;
 			}
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -12,6 +12,8 @@
 export class Worker {
 	/** All runs that were ever started here: task, run, start and end by a clock that all workers share. */
 	history = [];
+	/** Number of `/hold` calls that have arrived. */
+	holdCount = 0;
 	#server;
 	#sockets = new Set();
 	#timer;
@@ -213,6 +215,7 @@
 	}
 
 	#hold({ lastSeen = 0, deadlineMs, waitMs = 0 }, response) {
+		this.holdCount += 1;
 		if (deadlineMs !== undefined && deadlineMs > this.clockMs()) {
 			this.#extendLease(deadlineMs);
 		}
