--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -129,7 +129,10 @@
 
 	note(text) {
 		const seconds = ((performance.now() - this.#startMs) / 1000).toFixed(3);
-		this.#lines.push(`${seconds.padStart(8)} s  ${text}`);
+		// The paths of the machine stay out of the record.
+		this.#lines.push(
+			`${seconds.padStart(8)} s  ${text.replaceAll(tmpdir(), '<temporary folder>').replaceAll(root, '')}`,
+		);
 	}
 
 	save() {
