Agents refuse starts that arrive late, so that a paused agent starts nothing that runs elsewhere

Cause: a start had no time until which it holds. An agent that was paused read the starts that waited in its socket, and leased them from the moment at which it sent them on, while the entry had started the tasks elsewhere 1.6 s after the loss of the connection.

Change: states carry the worker's time, and starts the worker's time at which they were sent. The agent refuses starts older than 400 ms or for an earlier incarnation of the worker; the lease counts from the sending, so that the worker refuses a start that a pause delays between the check and the order.

--- a/src/dispatch/common/agentTable.ts
+++ b/src/dispatch/common/agentTable.ts
@@ -9,6 +9,7 @@
 	type TaskNeeds,
 	type TaskRunRef,
 	type WorkerState,
+	type WorkerTime,
 } from './dispatchMessages.js';
 import type { JobRow, TaskRow } from './jobTable.js';
 import type { WorkerView } from './placement.js';
@@ -180,6 +181,14 @@
 	return sequence;
 }
 
+/** Estimates the present time by the worker's clock from the agent's last report. */
+export function estimateWorkerTime(agent: AgentRow, nowMs: number): WorkerTime | undefined {
+	const { workerTime } = agent.state;
+	return workerTime === undefined
+		? undefined
+		: { ...workerTime, clockMs: Math.floor(workerTime.clockMs + nowMs - agent.reportedAtMs) };
+}
+
 /** Applies a reported state, and drops the needs of the start messages that it includes. */
 export function applyReportedState(
 	agent: AgentRow,
--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -14,7 +14,7 @@
 	removeRun,
 	type AgentRow,
 } from './agentTable.js';
-import { type AgentReportMessage, type TaskEndReport, type TaskRunRef } from './dispatchMessages.js';
+import type { AgentReportMessage, RefusalReason, TaskEndReport, TaskRunRef } from './dispatchMessages.js';
 import { createCounters, logIfLate, type IDispatchHost } from './dispatchHost.js';
 import { defaultRetryAfterMs, JobAdmission } from './jobAdmission.js';
 import { CrashHistory } from './crashHistory.js';
@@ -39,6 +39,13 @@
 const agentRetentionMs = 10_000;
 /** Time before its deadline at which an unfinished job is ended. */
 const deadlineMarginMs = 20;
+/** Reasons for which the agent that has refused a task is excluded for it. */
+const excludingReasons: ReadonlySet<RefusalReason> = new Set([
+	'unhealthy',
+	'notAccepting',
+	'invalid',
+	'expired',
+]);
 /** Interval between health reviews unless a report looks suspect; half of the interval between deadline checks. */
 const healthReviewIntervalMs = 8;
 
@@ -440,7 +447,7 @@
 		} else {
 			recordRefusedStart(job);
 		}
-		if (report.reason === 'unhealthy' || report.reason === 'notAccepting' || report.reason === 'invalid') {
+		if (report.reason !== undefined && excludingReasons.has(report.reason)) {
 			task.excludedAgentIds.add(agent.agentId);
 		}
 		this._requeueTask(job, task);
--- a/src/dispatch/common/dispatchMessageChecks.ts
+++ b/src/dispatch/common/dispatchMessageChecks.ts
@@ -15,6 +15,7 @@
 	TaskRunRef,
 	WorkerCrashesMessage,
 	WorkerState,
+	WorkerTime,
 } from './dispatchMessages.js';
 import type { CrashedRun, WorkerCrash } from './workerCrash.js';
 
@@ -63,8 +64,13 @@
 
 /** Returns whether a message is a readable order to start tasks. */
 export function isStartTasks(message: Message): message is StartTasksMessage {
-	const { kind, sequence, jobs } = message as Unchecked<StartTasksMessage>;
-	return kind === 'startTasks' && isNumber(sequence) && isArrayOf(jobs, isJobStart);
+	const { kind, sequence, sentAt, jobs } = message as Unchecked<StartTasksMessage>;
+	return (
+		kind === 'startTasks' &&
+		isNumber(sequence) &&
+		(sentAt === undefined || isWorkerTime(sentAt)) &&
+		isArrayOf(jobs, isJobStart)
+	);
 }
 
 /** Returns whether a message is a readable order to stop tasks. */
@@ -115,6 +121,7 @@
 	return (
 		typeof state.workerId === 'string' &&
 		(state.workerKey === undefined || typeof state.workerKey === 'string') &&
+		(state.workerTime === undefined || isWorkerTime(state.workerTime)) &&
 		typeof state.dataCentre === 'string' &&
 		typeof state.pool === 'string' &&
 		isArrayOf(state.labels, isString) &&
@@ -132,6 +139,14 @@
 	);
 }
 
+function isWorkerTime(value: unknown): value is WorkerTime {
+	if (!isObject(value)) {
+		return false;
+	}
+	const { incarnation, clockMs } = value as Unchecked<WorkerTime>;
+	return isNumber(incarnation) && isNumber(clockMs);
+}
+
 function isTaskEndReport(value: unknown): value is TaskEndReport {
 	return isRunRef(value) && runEnds.has((value as Unchecked<TaskEndReport>).end);
 }
--- a/src/dispatch/common/dispatchMessages.ts
+++ b/src/dispatch/common/dispatchMessages.ts
@@ -22,6 +22,13 @@
 	readonly run: number;
 }
 
+/** A time by the clock of one incarnation of a worker. */
+export interface WorkerTime {
+	/** Number that the agent gives to the incarnation; it increases when the worker is replaced or restarts. */
+	readonly incarnation: number;
+	readonly clockMs: number;
+}
+
 /** Runs of one job's tasks that are to be started. */
 export interface JobStart {
 	readonly jobId: string;
@@ -42,6 +49,11 @@
 	readonly kind: 'startTasks';
 	/** Number of the message on its connection; reports name the last one that their state includes. */
 	readonly sequence: number;
+	/**
+	 * Time at which the entry sent the message. The agent refuses starts that it receives much later, since the entry may have
+	 * sent the tasks to another agent by then. Absent in messages of entries of an earlier version.
+	 */
+	readonly sentAt?: WorkerTime | undefined;
 	readonly jobs: readonly JobStart[];
 }
 
@@ -61,6 +73,8 @@
 	| 'unhealthy'
 	/** A run with the same or a higher number is already known. */
 	| 'olderRun'
+	/** The start arrived too late, or for an earlier incarnation of the worker. */
+	| 'expired'
 	/** The worker could not read the task. */
 	| 'invalid';
 
@@ -81,6 +95,8 @@
 	readonly workerId: string;
 	/** Identifies the incarnation of the worker; absent until it has announced itself. */
 	readonly workerKey?: string | undefined;
+	/** Time at which the agent sent this state; absent while it does not know the worker's clock. */
+	readonly workerTime?: WorkerTime | undefined;
 	readonly dataCentre: string;
 	readonly pool: string;
 	readonly labels: readonly string[];
--- a/src/dispatch/common/heldRuns.ts
+++ b/src/dispatch/common/heldRuns.ts
@@ -9,6 +9,7 @@
 	type TaskNeeds,
 	type TaskRef,
 	type TaskRunRef,
+	type WorkerTime,
 } from './dispatchMessages.js';
 
 /** Time for which ends are reported again to an entry that reconnects. */
@@ -30,6 +31,8 @@
 	readonly needs: TaskNeeds;
 	readonly payload: string;
 	readonly estimateMs: number;
+	/** Time at which the entry sent the start; `undefined` if the entry didn't tell it. */
+	readonly sentAt: WorkerTime | undefined;
 	phase: HeldRunPhase;
 	/** Time at which the start order was sent. */
 	readonly sentMs: number;
@@ -64,7 +67,12 @@
 }
 
 /** Creates the state of a run that is about to be started. */
-export function createHeldRun(task: TaskRunRef, job: JobStart, entryKey: string, nowMs: number): HeldRun {
+export function createHeldRun(
+	task: TaskRunRef,
+	job: JobStart,
+	{ entryKey, sentAt }: Pick<HeldRun, 'entryKey' | 'sentAt'>,
+	nowMs: number,
+): HeldRun {
 	const { route, needs, payload, estimateMs } = job;
 	return {
 		...task,
@@ -73,6 +81,7 @@
 		needs,
 		payload,
 		estimateMs,
+		sentAt,
 		phase: 'starting',
 		sentMs: nowMs,
 		startedMs: nowMs,
--- a/src/dispatch/common/significantStateChange.ts
+++ b/src/dispatch/common/significantStateChange.ts
@@ -30,6 +30,7 @@
 	}
 	return (
 		lastReported.workerId !== next.workerId ||
+		lastReported.workerTime?.incarnation !== next.workerTime?.incarnation ||
 		lastReported.pool !== next.pool ||
 		lastReported.isAccepting !== next.isAccepting ||
 		lastReported.isCapacityGuessed !== next.isCapacityGuessed ||
--- a/src/dispatch/common/startRefusal.ts
+++ b/src/dispatch/common/startRefusal.ts
@@ -16,6 +16,8 @@
 	readonly worker: WorkerAnnouncement | undefined;
 	readonly isAccepting: boolean;
 	readonly runs: HeldRuns;
+	/** Whether the start arrived too late, or for an earlier incarnation of the worker. */
+	readonly isExpired: boolean;
 	/** Whether the capacity is known: the worker has announced it, not long ago, and lists no run of unknown needs. */
 	readonly isCapacityKnown: boolean;
 }
@@ -30,11 +32,14 @@
 export function findRefusalReason(
 	job: JobStart,
 	task: TaskRunRef,
-	{ worker, isAccepting, runs, isCapacityKnown }: StartConditions,
+	{ worker, isAccepting, isExpired, runs, isCapacityKnown }: StartConditions,
 ): RefusalReason | undefined {
 	if (worker?.pool !== job.pool || !isAccepting) {
 		return 'notAccepting';
 	}
+	if (isExpired) {
+		return 'expired';
+	}
 	if (runs.getLastRunNumber(task) >= task.run) {
 		return 'olderRun';
 	}
--- a/src/dispatch/common/taskPlacer.ts
+++ b/src/dispatch/common/taskPlacer.ts
@@ -1,7 +1,13 @@
 /** Places waiting tasks on workers, and batches the starts of one scheduling round into one message per agent. */
 
 import type { CrashHistory, CrashSuspicion } from './crashHistory.js';
-import { addRun, assignStartSequence, type AgentRow, type AgentTable } from './agentTable.js';
+import {
+	addRun,
+	assignStartSequence,
+	estimateWorkerTime,
+	type AgentRow,
+	type AgentTable,
+} from './agentTable.js';
 import type { JobStart, StartTasksMessage } from './dispatchMessages.js';
 import { recordStart, traceStep, type JobRow, type TaskRow } from './jobTable.js';
 import type { JobRequest } from './jobs.js';
@@ -61,7 +67,7 @@
 		}
 		let sentCount = 0;
 		for (const [agent, byJob] of starts) {
-			sentCount += this._sendStarts(agent, [...byJob.values()]);
+			sentCount += this._sendStarts(agent, [...byJob.values()], nowMs);
 		}
 		return sentCount;
 	}
@@ -139,12 +145,13 @@
 		byJob.set(job, { jobId, route, pool, isCapacityEnforced, payload, needs, estimateMs, tasks });
 	}
 
-	private _sendStarts(agent: AgentRow, jobs: readonly JobStart[]): number {
+	private _sendStarts(agent: AgentRow, jobs: readonly JobStart[], nowMs: number): number {
 		if (agent.connectionId === undefined) {
 			return 0;
 		}
 		const sequence = assignStartSequence(agent, jobs);
-		this._send(agent.connectionId, { kind: 'startTasks', sequence, jobs });
+		const sentAt = estimateWorkerTime(agent, nowMs);
+		this._send(agent.connectionId, { kind: 'startTasks', sequence, sentAt, jobs });
 		return jobs.reduce((sum, { tasks }) => sum + tasks.length, 0);
 	}
 }
--- a/src/dispatch/common/taskWorker.ts
+++ b/src/dispatch/common/taskWorker.ts
@@ -64,8 +64,9 @@
 		case 'unhealthy':
 		case 'invalid':
 			return reason;
-		case 'fenced':
 		case 'leasePast':
+			return 'expired';
+		case 'fenced':
 		case 'otherWorker':
 		case 'undelivered':
 			return 'notAccepting';
--- a/src/dispatch/common/test/crashBudget.test.ts
+++ b/src/dispatch/common/test/crashBudget.test.ts
@@ -29,7 +29,10 @@
 		...{ jobId: 'job', route: 'route', pool: 'pool', isCapacityEnforced: true },
 		...{ payload: '', needs, estimateMs: 100, tasks: [] },
 	};
-	return { ...createHeldRun({ ...task, run: 1 }, job, 'entry/1', sentMs), phase };
+	return {
+		...createHeldRun({ ...task, run: 1 }, job, { entryKey: 'entry/1', sentAt: undefined }, sentMs),
+		phase,
+	};
 }
 
 function recordCrash(run: HeldRun, crashedAtMs: number, worker = createWorker()): WorkerCrash | undefined {
--- a/src/dispatch/common/workerLease.ts
+++ b/src/dispatch/common/workerLease.ts
@@ -1,7 +1,11 @@
 /** Agent's side of a worker's lease: the worker's clock offset, the fencing token, and the expiry of the lease. */
 
+import type { WorkerTime } from './dispatchMessages.js';
+
 /** Duration of a renewed lease. The worker allows at most 1 s. Runs of a lost agent continue for up to this time. */
 export const leaseDurationMs = 700;
+/** Age from which on a start is refused; the rest of its lease is left for the first renewal. */
+const maxStartAgeMs = 400;
 /** Margin for the drift of a worker's clock during a lease (2%) and for killing the runs. */
 const lapseMarginMs = 100;
 /** Least advance of the worker's clock that shows a pause of this process; above the delay of an answer. */
@@ -17,6 +21,7 @@
  */
 export class WorkerLease {
 	private _fencingToken: number;
+	private _incarnation = 0;
 	/** Worker's clock minus this process's clock. */
 	private _clockOffsetMs: number | undefined;
 	/** Latest expiry of the lease, by this process's clock. */
@@ -50,6 +55,33 @@
 		return Math.floor(this._expiresAtMs + (this._clockOffsetMs ?? 0));
 	}
 
+	/**
+	 * Renews the lease for a start. The lease counts from the time at which the entry sent the start, so that the worker itself
+	 * refuses a start that is delayed by a pause of this process, which need not show in this process's clock.
+	 */
+	renewForStart(sentAt: WorkerTime | undefined, nowMs: number): number {
+		const leaseUntilMs = this.renew(nowMs);
+		return sentAt === undefined ? leaseUntilMs : Math.min(leaseUntilMs, sentAt.clockMs + leaseDurationMs);
+	}
+
+	/** Returns the present time by the worker's clock; `undefined` while the clock is unknown. */
+	getWorkerTime(nowMs: number): WorkerTime | undefined {
+		return this._clockOffsetMs === undefined
+			? undefined
+			: { incarnation: this._incarnation, clockMs: Math.floor(nowMs + this._clockOffsetMs) };
+	}
+
+	/** Returns whether a start is too old to be carried out, or was meant for an earlier incarnation of the worker. */
+	isStartExpired(sentAt: WorkerTime | undefined, nowMs: number): boolean {
+		if (sentAt === undefined) {
+			return false;
+		}
+		const workerTime = this.getWorkerTime(nowMs);
+		return (
+			workerTime?.incarnation !== sentAt.incarnation || workerTime.clockMs - sentAt.clockMs > maxStartAgeMs
+		);
+	}
+
 	/** Returns whether the last renewal has expired, so that nothing can run at the worker any more. */
 	hasLapsed(nowMs: number): boolean {
 		return nowMs > this._expiresAtMs + lapseMarginMs;
@@ -67,6 +99,7 @@
 	 */
 	reset(): void {
 		this._fencingToken += 1;
+		this._incarnation += 1;
 		this._clockOffsetMs = undefined;
 		this._expiresAtMs = -Infinity;
 	}
--- a/src/dispatch/common/workerStateReport.ts
+++ b/src/dispatch/common/workerStateReport.ts
@@ -1,6 +1,6 @@
 /** Creates the state of a worker that its agent reports to entries. */
 
-import type { WorkerState } from './dispatchMessages.js';
+import type { WorkerState, WorkerTime } from './dispatchMessages.js';
 import type { EndCounts } from './endCounts.js';
 import type { HeldRuns } from './heldRuns.js';
 import type { KnownWorker } from './knownWorker.js';
@@ -14,6 +14,8 @@
 	readonly paceMeter: PaceMeter;
 	readonly endCounts: EndCounts;
 	readonly isAccepting: boolean;
+	/** Present time by the worker's clock; `undefined` while its clock is unknown. */
+	readonly workerTime: WorkerTime | undefined;
 	readonly nowMs: number;
 }
 
@@ -21,10 +23,10 @@
  * Returns the state to report, or `undefined` while no worker is known.
  *
  * @example
- * const state = createWorkerState({ worker, runs, paceMeter, endCounts, isAccepting: true, nowMs });
+ * const state = createWorkerState({ worker, runs, paceMeter, endCounts, isAccepting: true, workerTime, nowMs });
  */
 export function createWorkerState(sources: WorkerStateSources): WorkerState | undefined {
-	const { worker, runs, paceMeter, endCounts, isAccepting, nowMs } = sources;
+	const { worker, runs, paceMeter, endCounts, isAccepting, workerTime, nowMs } = sources;
 	if (worker.announcement === undefined) {
 		return undefined;
 	}
@@ -36,6 +38,7 @@
 		isCapacityGuessed: worker.workerId === undefined,
 		used: runs.used,
 		isAccepting,
+		workerTime,
 		speed: paceMeter.speed,
 		pace,
 		laggards: findLaggards(runs.all, pace ?? 1, worker.getTimeToExitMs(nowMs)),
--- a/src/dispatch/node/runOrderSender.ts
+++ b/src/dispatch/node/runOrderSender.ts
@@ -7,6 +7,7 @@
 import type { IClock } from '../../base/common/clock.js';
 import type { ILogService } from '../../services/log/common/log.js';
 import { toRunRef, type TaskRunRef } from '../common/dispatchMessages.js';
+import type { HeldRun } from '../common/heldRuns.js';
 import type { OrderContext, OrderRefusalReason, TaskWorker, UnansweredOrder } from '../common/taskWorker.js';
 import type { WorkerLease } from '../common/workerLease.js';
 
@@ -42,17 +43,19 @@
 	 *
 	 * @param isCurrent whether the run is still held at the same incarnation of the worker
 	 */
-	async start(run: TaskRunRef, payload: string, isCurrent: () => boolean): Promise<StartResult> {
+	async start(run: HeldRun, isCurrent: () => boolean): Promise<StartResult> {
 		const { taskWorker, lease, clock } = this._options;
 		for (let attempt = 1; ; attempt += 1) {
-			const order = { ...this._options.getContext(), ...toRunRef(run), payload };
-			const answer = await taskWorker.start({ ...order, leaseUntilMs: lease.renew(clock.nowMs()) });
+			const order = { ...this._options.getContext(), ...toRunRef(run), payload: run.payload };
+			const leaseUntilMs = lease.renewForStart(run.sentAt, clock.nowMs());
+			const answer = await taskWorker.start({ ...order, leaseUntilMs });
 			if (!isCurrent()) {
 				return { kind: 'void' };
 			}
 			if (
 				answer.kind !== 'refused' ||
 				attempt === maxStartAttempts ||
+				lease.isStartExpired(run.sentAt, clock.nowMs()) ||
 				!this._recoverFromRefusal(answer.reason)
 			) {
 				return answer;
--- /dev/null
+++ b/src/dispatch/node/runRecords.ts
@@ -0,0 +1,108 @@
+/** Keeps the runs of an agent and the measurements that they yield, and reports their ends to entries. */
+
+import type { IClock } from '../../base/common/clock.js';
+import { toRunRef, getTaskKey, type RunEnd, type TaskEndReport } from '../common/dispatchMessages.js';
+import { EndCounts } from '../common/endCounts.js';
+import { HeldRuns, resolveMissingRun, type HeldRun } from '../common/heldRuns.js';
+import { PaceMeter } from '../common/paceMeter.js';
+import type { EndedTask, RunningTask } from '../common/taskWorker.js';
+
+/** Sends what changes to entries. */
+export interface IRunReporter {
+	reportEnd(entryKey: string, report: TaskEndReport): void;
+	scheduleStateReports(): void;
+}
+
+/**
+ * Records starts, progress and ends of runs.
+ *
+ * @example
+ * records.markRunning(run);
+ * records.endRun(run, 'lost');
+ */
+export class RunRecords {
+	readonly runs = new HeldRuns();
+	readonly paceMeter = new PaceMeter();
+	readonly endCounts = new EndCounts();
+
+	constructor(
+		private readonly _reporter: IRunReporter,
+		private readonly _clock: IClock,
+	) {}
+
+	/** Records that the worker has begun a run. */
+	markRunning(run: HeldRun): void {
+		if (run.phase === 'starting') {
+			run.phase = 'running';
+			run.startedMs = this._clock.nowMs();
+		}
+	}
+
+	/** Records the progress of a run that the worker lists. */
+	recordProgress(run: HeldRun, { percent }: RunningTask): void {
+		run.missingSinceMs = undefined;
+		this.markRunning(run);
+		run.progressPercent = percent;
+		this.paceMeter.recordProgress(getTaskKey(run), percent, run.estimateMs, this._clock.nowMs());
+	}
+
+	/** Records an end that the worker lists. */
+	recordEnd(run: HeldRun, { end }: EndedTask): void {
+		const nowMs = this._clock.nowMs();
+		const key = getTaskKey(run);
+		if (end === 'done') {
+			this.endCounts.recordDone(nowMs);
+			this.paceMeter.recordDone(key, run.estimateMs, nowMs - run.startedMs);
+		} else {
+			this.paceMeter.removeTask(key);
+		}
+		if (end === 'failed') {
+			this.endCounts.recordFailure(run.jobId, nowMs);
+		}
+		this.endRun(run, end);
+	}
+
+	/** Ends the runs that the worker should list and does not, once that shows that they have ended. */
+	endMissingRuns(listedKeys: ReadonlySet<string>, sentMs: number): void {
+		for (const run of this.runs.all) {
+			if (!listedKeys.has(getTaskKey(run))) {
+				const end = resolveMissingRun(run, sentMs, this._clock.nowMs());
+				if (end !== undefined) {
+					this.endRun(run, end);
+				}
+			}
+		}
+	}
+
+	/** Removes a run and reports its end. */
+	endRun(run: HeldRun, end: RunEnd): void {
+		this.removeRun(run);
+		this.reportEnd(run.entryKey, { ...toRunRef(run), end });
+	}
+
+	/** Removes all runs and reports their end. */
+	endAllRuns(end: RunEnd): void {
+		for (const run of this.runs.all) {
+			this.endRun(run, end);
+		}
+	}
+
+	/** Removes a run without a report. */
+	removeRun(run: HeldRun): void {
+		this.runs.remove(run);
+		this.paceMeter.removeTask(getTaskKey(run));
+		this._reporter.scheduleStateReports();
+	}
+
+	/** Reports an end, and remembers it for an entry that reconnects. */
+	reportEnd(entryKey: string, report: TaskEndReport): void {
+		this.runs.recordReportedEnd(entryKey, report, this._clock.nowMs());
+		this._reporter.reportEnd(entryKey, report);
+	}
+
+	/** Discards the measurements when the worker changes or restarts. */
+	resetMeasurements(): void {
+		this.paceMeter.reset();
+		this.endCounts.reset();
+	}
+}
--- a/src/dispatch/node/taskExecutor.ts
+++ b/src/dispatch/node/taskExecutor.ts
@@ -12,19 +12,16 @@
 	getTaskKey,
 	type JobStart,
 	type RefusalReason,
-	type RunEnd,
 	type StartTasksMessage,
 	type StopTasksMessage,
-	type TaskEndReport,
 	type TaskRunRef,
 	type WorkerState,
+	type WorkerTime,
 } from '../common/dispatchMessages.js';
 import { logAnnouncement } from '../common/announcementLog.js';
 import { CrashRecorder, type CrashEvidence } from '../common/crashRecorder.js';
-import { EndCounts } from '../common/endCounts.js';
-import { createHeldRun, HeldRuns, resolveMissingRun, type HeldRun } from '../common/heldRuns.js';
+import { createHeldRun, type HeldRun, type HeldRuns } from '../common/heldRuns.js';
 import { KnownWorker } from '../common/knownWorker.js';
-import { PaceMeter } from '../common/paceMeter.js';
 import {
 	toRefusalReason,
 	type EndedTask,
@@ -42,15 +39,15 @@
 import type { ExecutorOptions, IExecutorHost } from './executorOptions.js';
 import { LostEntryMonitor } from './lostEntryMonitor.js';
 import { RunOrderSender } from './runOrderSender.js';
+import { RunRecords } from './runRecords.js';
 
 /** Time since the start after which no run of an earlier incarnation of this agent can remain. */
 const earlierRunsExpiryMs = 1300;
 
 /** Runs tasks on one worker. */
 export class TaskExecutor extends Disposable implements IWorkerPollerHost {
-	private readonly _runs = new HeldRuns();
-	private readonly _paceMeter = new PaceMeter();
-	private readonly _endCounts = new EndCounts();
+	private readonly _records: RunRecords;
+	private readonly _runs: HeldRuns;
 	private readonly _crashes: CrashRecorder;
 	private readonly _reporter: EntryReporter;
 	private readonly _lease: WorkerLease;
@@ -96,6 +93,8 @@
 				this._stopOrphanedRuns(entryKey);
 			}),
 		);
+		this._records = new RunRecords(this._reporter, _options.clock);
+		this._runs = this._records.runs;
 		this._poller = this._register(
 			new WorkerPoller(this, { ..._options, taskWorker: _taskWorker, lease: this._lease }),
 		);
@@ -121,9 +120,9 @@
 		return {
 			runs: this._runs.size,
 			workerCrashes: this._crashes.count,
-			speed: this._paceMeter.speed,
-			pace: this._paceMeter.getPace(nowMs) ?? -1,
-			...this._endCounts.getCounts(nowMs),
+			speed: this._records.paceMeter.speed,
+			pace: this._records.paceMeter.getPace(nowMs) ?? -1,
+			...this._records.endCounts.getCounts(nowMs),
 		};
 	}
 
@@ -181,7 +180,7 @@
 		this._reporter.recordHandledSequence(connectionId, message.sequence);
 		for (const job of message.jobs) {
 			for (const { taskIndex, run } of job.tasks) {
-				this._handleStart(entryKey, job, { jobId: job.jobId, taskIndex, run });
+				this._handleStart(entryKey, job, { jobId: job.jobId, taskIndex, run }, message.sentAt);
 			}
 		}
 		this._scheduleStateReports();
@@ -218,10 +217,15 @@
 		}
 	}
 
-	private _handleStart(entryKey: string, job: JobStart, task: TaskRunRef): void {
-		const refusal = this._findRefusalReason(job, task);
+	private _handleStart(
+		entryKey: string,
+		job: JobStart,
+		task: TaskRunRef,
+		sentAt: WorkerTime | undefined,
+	): void {
+		const refusal = this._findRefusalReason(job, task, sentAt);
 		if (refusal !== undefined) {
-			this._reportEnd(entryKey, {
+			this._records.reportEnd(entryKey, {
 				...task,
 				end: 'refused',
 				reason: refusal,
@@ -229,18 +233,23 @@
 			});
 			return;
 		}
-		const run = createHeldRun(task, job, entryKey, this._nowMs());
+		const run = createHeldRun(task, job, { entryKey, sentAt }, this._nowMs());
 		this._runs.add(run, this._nowMs());
 		this._sendStart(run).catch((error: unknown) => {
 			this._options.log.error('run.startFailed', { jobId: run.jobId, message: describeError(error) });
 		});
 	}
 
-	private _findRefusalReason(job: JobStart, task: TaskRunRef): RefusalReason | undefined {
+	private _findRefusalReason(
+		job: JobStart,
+		task: TaskRunRef,
+		sentAt: WorkerTime | undefined,
+	): RefusalReason | undefined {
 		const heldRun = this._runs.get(task);
 		const refusal = findRefusalReason(job, task, {
 			worker: this._worker.announcement,
 			isAccepting: this._isAccepting(),
+			isExpired: this._lease.isStartExpired(sentAt, this._nowMs()),
 			runs: this._runs,
 			isCapacityKnown: !this._hasUnknownRuns && this._worker.isCapacityKnown(this._nowMs()),
 		});
@@ -251,10 +260,10 @@
 	}
 
 	private async _sendStart(run: HeldRun): Promise<void> {
-		const result = await this._orderSender.start(run, run.payload, this._createCurrentCheck(run));
+		const result = await this._orderSender.start(run, this._createCurrentCheck(run));
 		switch (result.kind) {
 			case 'started':
-				this._markRunning(run);
+				this._records.markRunning(run);
 				return;
 			case 'unanswered':
 				if (result.isConnectionRefused === true) {
@@ -282,21 +291,14 @@
 		return () => !this._isDisposed && incarnation === this._worker.incarnation && this._runs.get(run) === run;
 	}
 
-	private _markRunning(run: HeldRun): void {
-		if (run.phase === 'starting') {
-			run.phase = 'running';
-			run.startedMs = this._nowMs();
-		}
-	}
-
 	private _handleRefusedStart(run: HeldRun, reason: OrderRefusalReason): void {
 		const { jobId, taskIndex } = run;
 		this._options.log.info('run.refused', { jobId, taskIndex, reason });
 		if (reason === 'unhealthy') {
-			this._endCounts.recordFailure(jobId, this._nowMs());
+			this._records.endCounts.recordFailure(jobId, this._nowMs());
 		}
-		this._removeRun(run);
-		this._reportEnd(run.entryKey, {
+		this._records.removeRun(run);
+		this._records.reportEnd(run.entryKey, {
 			...toRunRef(run),
 			end: 'refused',
 			reason: toRefusalReason(reason),
@@ -352,7 +354,7 @@
 	}
 
 	handleLeaseLapsed(): void {
-		this._endAllRuns('lost');
+		this._records.endAllRuns('lost');
 		this._areEarlierRunsGone ||= this._nowMs() - this._executorStartedMs > earlierRunsExpiryMs;
 	}
 
@@ -384,22 +386,10 @@
 		if (run?.run !== end.run) {
 			return;
 		}
-		const nowMs = this._nowMs();
-		const key = getTaskKey(run);
-		if (end.end === 'done') {
-			this._endCounts.recordDone(nowMs);
-			this._paceMeter.recordDone(key, run.estimateMs, nowMs - run.startedMs);
-		} else {
-			this._paceMeter.removeTask(key);
-		}
-		if (end.end === 'failed') {
-			this._endCounts.recordFailure(run.jobId, nowMs);
-		}
-		this._endRun(run, end.end);
+		this._records.recordEnd(run, end);
 	}
 
 	private _handleRunning(running: readonly RunningTask[], sentMs: number, areEndsComplete: boolean): void {
-		const nowMs = this._nowMs();
 		const listedKeys = new Set<string>();
 		let unknownRunCount = 0;
 		for (const task of running) {
@@ -410,38 +400,13 @@
 				continue;
 			}
 			listedKeys.add(getTaskKey(run));
-			run.missingSinceMs = undefined;
-			this._markRunning(run);
-			run.progressPercent = task.percent;
-			this._paceMeter.recordProgress(getTaskKey(run), task.percent, run.estimateMs, nowMs);
+			this._records.recordProgress(run, task);
 		}
 		this._hasUnknownRuns = unknownRunCount > 0;
 		this._areEarlierRunsGone ||= unknownRunCount === 0;
-		for (const run of this._runs.all) {
-			if (!listedKeys.has(getTaskKey(run)) && areEndsComplete) {
-				const end = resolveMissingRun(run, sentMs, nowMs);
-				if (end !== undefined) {
-					this._endRun(run, end);
-				}
-			}
-		}
-		this._scheduleStateReports();
-	}
-
-	private _endRun(run: HeldRun, end: RunEnd): void {
-		this._removeRun(run);
-		this._reportEnd(run.entryKey, { ...toRunRef(run), end });
-	}
-
-	private _endAllRuns(end: RunEnd): void {
-		for (const run of this._runs.all) {
-			this._endRun(run, end);
+		if (areEndsComplete) {
+			this._records.endMissingRuns(listedKeys, sentMs);
 		}
-	}
-
-	private _removeRun(run: HeldRun): void {
-		this._runs.remove(run);
-		this._paceMeter.removeTask(getTaskKey(run));
 		this._scheduleStateReports();
 	}
 
@@ -456,9 +421,8 @@
 		this._acknowledgedEnd = 0;
 		this._hasUnknownRuns = false;
 		this._lease.reset();
-		this._paceMeter.reset();
-		this._endCounts.reset();
-		this._endAllRuns('lost');
+		this._records.resetMeasurements();
+		this._records.endAllRuns('lost');
 		this._scheduleStateReports();
 	}
 
@@ -480,11 +444,6 @@
 		);
 	}
 
-	private _reportEnd(entryKey: string, report: TaskEndReport): void {
-		this._runs.recordReportedEnd(entryKey, report, this._nowMs());
-		this._reporter.reportEnd(entryKey, report);
-	}
-
 	private _scheduleStateReports(): void {
 		this._reporter.scheduleStateReports();
 	}
@@ -493,13 +452,15 @@
 		if (!this._areEarlierRunsGone) {
 			return undefined;
 		}
+		const nowMs = this._nowMs();
 		return createWorkerState({
 			worker: this._worker,
 			runs: this._runs,
-			paceMeter: this._paceMeter,
-			endCounts: this._endCounts,
+			paceMeter: this._records.paceMeter,
+			endCounts: this._records.endCounts,
 			isAccepting: this._isAccepting(),
-			nowMs: this._nowMs(),
+			workerTime: this._lease.getWorkerTime(nowMs),
+			nowMs,
 		});
 	}
 
--- a/src/dispatch/node/test/memorySystem.ts
+++ b/src/dispatch/node/test/memorySystem.ts
@@ -23,24 +23,54 @@
 	readonly onDidClose = this._onDidClose.event;
 	isOpen = true;
 	other: MemoryConnection | undefined;
+	/** Events that this end has not handled yet, since its process is paused; `undefined` while it runs. */
+	private _pending: (() => void)[] | undefined;
 
 	constructor(readonly peer: PeerIdentity) {}
 
 	send(message: Message): boolean {
 		const copy = structuredClone(message);
 		setImmediate(() => {
-			if (this.other?.isOpen === true) {
-				this.other._onDidReceive.fire(copy);
-			}
+			this.other?._handle(() => {
+				if (this.other?.isOpen === true) {
+					this.other._onDidReceive.fire(copy);
+				}
+			});
 		});
 		return this.isOpen;
 	}
 
+	/** Number of messages and closings that wait for the paused process at this end. */
+	get pendingCount(): number {
+		return this._pending?.length ?? 0;
+	}
+
+	/** Pauses the process at this end: what arrives waits, as in the buffer of a socket. */
+	pause(): void {
+		this._pending ??= [];
+	}
+
+	resume(): void {
+		const pending = this._pending ?? [];
+		this._pending = undefined;
+		for (const handle of pending) {
+			handle();
+		}
+	}
+
 	close(): void {
 		if (this.isOpen) {
 			this.isOpen = false;
 			this._onDidClose.fire('closed');
-			this.other?.close();
+			this.other?._handle(() => this.other?.close());
+		}
+	}
+
+	private _handle(event: () => void): void {
+		if (this._pending === undefined) {
+			event();
+		} else {
+			this._pending.push(event);
 		}
 	}
 
@@ -250,6 +280,24 @@
 		this._connectAll();
 	}
 
+	/** Pauses what an agent receives; its own timers and its worker go on. */
+	pauseAgent(index: number): void {
+		this._agents[index]?.links.forEach((link) => {
+			link.pause();
+		});
+	}
+
+	resumeAgent(index: number): void {
+		this._agents[index]?.links.forEach((link) => {
+			link.resume();
+		});
+	}
+
+	/** Returns the number of messages that wait for a paused agent. */
+	countPendingMessages(index: number): number {
+		return [...(this._agents[index]?.links.values() ?? [])].reduce((sum, link) => sum + link.pendingCount, 0);
+	}
+
 	/** Cuts an entry off from an agent. */
 	cut(entryIndex: number, agentIndex: number): void {
 		this._cutPairs.add(`${entryIndex}-${agentIndex}`);
--- a/src/dispatch/node/test/taskExecutor.test.ts
+++ b/src/dispatch/node/test/taskExecutor.test.ts
@@ -6,7 +6,12 @@
 import test, { type ExecutionContext } from 'ava';
 import { monotonicClock, type IClock } from '../../../base/common/clock.js';
 import { nullLogService } from '../../../services/log/common/log.js';
-import type { AgentReportMessage, TaskEndReport, WorkerState } from '../../common/dispatchMessages.js';
+import type {
+	AgentReportMessage,
+	TaskEndReport,
+	WorkerState,
+	WorkerTime,
+} from '../../common/dispatchMessages.js';
 import type { WorkerAnnouncement } from '../../common/taskWorker.js';
 import { leaseDurationMs } from '../../common/workerLease.js';
 import { reconnectGraceMs } from '../lostEntryMonitor.js';
@@ -32,6 +37,8 @@
 	readonly worker = new FakeTaskWorker(monotonicClock);
 	readonly reports: { readonly connectionId: number; readonly report: AgentReportMessage }[] = [];
 	readonly executor: TaskExecutor;
+	/** Time that start messages carry. */
+	sentAt: WorkerTime | undefined;
 	private _sequence = 0;
 
 	constructor(
@@ -78,7 +85,9 @@
 			...{ jobId, route: 'route', pool: 'pool', isCapacityEnforced },
 			...{ payload: 'x', needs, estimateMs: 300, tasks },
 		};
-		this.executor.handleStartTasks(connectionId, { kind: 'startTasks', sequence: 1, jobs: [job] });
+		this.executor.handleStartTasks(connectionId, {
+			...{ kind: 'startTasks', sequence: 1, sentAt: this.sentAt, jobs: [job] },
+		});
 	}
 
 	get state(): WorkerState | undefined {
@@ -307,6 +316,53 @@
 	});
 }
 
+test('an agent that was paused refuses the starts that arrived meanwhile', async (t) => {
+	const harness = new Harness(t);
+	await harness.makeReady();
+	harness.sentAt = harness.state?.workerTime;
+	harness.start(1, 'prompt');
+	await waitUntil(() => harness.worker.running.size === 1);
+	await new Promise((resolve) => setTimeout(resolve, 500));
+	harness.start(1, 'delayed');
+	await waitUntil(() => harness.ends().length === 1);
+	t.like(harness.ends()[0], { jobId: 'delayed', end: 'refused', reason: 'expired' });
+	t.deepEqual(
+		harness.worker.starts.map(({ jobId }) => jobId),
+		['prompt'],
+	);
+});
+
+test('an agent whose clock stood still in a pause starts nothing that arrived meanwhile, also once it knows the time', async (t) => {
+	let pausedMs = 0;
+	const clock: IClock = { nowMs: () => monotonicClock.nowMs() - pausedMs };
+	const harness = new Harness(t, undefined, undefined, clock);
+	await harness.makeReady();
+	const { incarnation, clockMs } = harness.state!.workerTime!;
+	pausedMs = 2000;
+	harness.sentAt = { incarnation, clockMs: clockMs - pausedMs };
+	const endMs = performance.now() + 300;
+	for (let run = 1; performance.now() < endMs; run += 1) {
+		harness.start(1, `delayed-${run}`);
+		await waitUntil(() => harness.ends().length === run);
+	}
+	t.is(harness.worker.running.size, 0);
+	t.true(harness.ends().every(({ end }) => end === 'refused'));
+	t.true(harness.ends().some(({ reason }) => reason === 'expired'));
+});
+
+test('a start that was sent to an earlier incarnation of the worker is refused', async (t) => {
+	const harness = new Harness(t);
+	await harness.makeReady();
+	harness.sentAt = harness.state?.workerTime;
+	harness.worker.restart(2000);
+	await waitUntil(() => harness.state === undefined);
+	harness.announce({ bornAtMs: 2000 });
+	await waitUntil(() => harness.state?.isAccepting === true);
+	harness.start(1, 'job');
+	await waitUntil(() => harness.ends().length === 1);
+	t.like(harness.ends()[0], { end: 'refused', reason: 'expired' });
+});
+
 test('an order to the earlier life of a worker that restarted under its ID is refused when it is carried out late', async (t) => {
 	const harness = new Harness(t);
 	await harness.makeReady();
