Members pass join requests on to the leader, so that a keeper is admitted whose seeds don't name it

Cause: the request to join went to the leader by its ID. A keeper without a group is connected to the keepers of its settings only, so that the message was dropped unless the leader was one of them. Ruled out: a refusal by the leader, since the case holds with the leader among the seeds.

Change: the request goes to the keeper that answered the probe; a keeper that does not lead passes it on to its leader, once.

--- a/src/replication/common/groupFormation.ts
+++ b/src/replication/common/groupFormation.ts
@@ -3,7 +3,7 @@
  *
  * A keeper without a group probes all keepers listed in its settings. Only the keeper whose processId sorts first forms
  * the group, and only when every other one has recently answered that it has no group either and lists the same
- * members. A keeper that learns of a group asks its leader to be admitted. A keeper adopts the group of the first
+ * members. A keeper that learns of a group asks to be admitted. A keeper adopts the group of the first
  * message from a candidate or leader that is addressed to its disk's identity.
  */
 
@@ -48,7 +48,10 @@
 	});
 }
 
-/** Records a probe answer; when it names a group, asks the leader of the group to admit this keeper. */
+/**
+ * Records a probe answer; when it names a group, asks to be admitted. The request goes to the keeper that answered, which
+ * passes it on to its leader, since this keeper can reach only the keepers of its settings.
+ */
 export function handleProbeAnswer(ctx: StepContext, from: string, answer: ProbeAnswer): void {
 	const { state, nowMs } = ctx;
 	state.formation.probeAnswers.set(from, { answer, receivedMs: nowMs });
@@ -59,7 +62,7 @@
 		return;
 	}
 	const { processId, address } = state.config;
-	ctx.sendFormationMessage(answer.leaderId ?? from, {
+	ctx.sendFormationMessage(from, {
 		kind: 'join',
 		groupId: answer.groupId,
 		processId,
--- a/src/replication/common/memberChanges.ts
+++ b/src/replication/common/memberChanges.ts
@@ -27,12 +27,20 @@
 /**
  * Handles the join request of a keeper with an empty disk. A member with another disk becomes a learner in its old
  * place, unless the old disk still answers, because then two processes use the same processId. The request of a keeper
- * that is no member is recorded for a later `addLearner`.
+ * that is no member is recorded for a later `addLearner`. A keeper that does not lead passes the request on to the leader,
+ * to which the asking keeper need not have a connection.
  */
 export function handleJoinRequest(ctx: StepContext, message: JoinMessage): void {
 	const { state, nowMs } = ctx;
 	const { processId, address, diskId } = message;
-	if (!acceptsProposals(state) || message.groupId !== state.hardState.groupId) {
+	if (message.groupId !== state.hardState.groupId) {
+		return;
+	}
+	if (state.role !== 'leader') {
+		relayToLeader(ctx, message);
+		return;
+	}
+	if (!acceptsProposals(state)) {
 		return;
 	}
 	const { leadership } = state;
@@ -53,6 +61,14 @@
 	}
 }
 
+/** Passes a join request on once, so that two keepers that take each other for the leader don't send it back and forth. */
+function relayToLeader(ctx: StepContext, message: JoinMessage): void {
+	const { leaderId } = ctx.state;
+	if (leaderId !== undefined && message.isRelayed !== true) {
+		ctx.sendFormationMessage(leaderId, { ...message, isRelayed: true });
+	}
+}
+
 /** Promotes a rejoining learner once it holds all that was committed at the start of the last confirmed round. */
 export function promoteRejoinedLearner(ctx: StepContext): void {
 	const { state, nowMs } = ctx;
--- a/src/replication/common/replicaMessages.ts
+++ b/src/replication/common/replicaMessages.ts
@@ -144,6 +144,8 @@
 	readonly processId: string;
 	readonly address: string;
 	readonly diskId: string;
+	/** Whether a member has passed the request on to the leader that it knows. */
+	readonly isRelayed?: boolean | undefined;
 }
 
 /** Messages for forming a group or finding an existing one. */
--- a/src/replication/test/replicaRules.test.ts
+++ b/src/replication/test/replicaRules.test.ts
@@ -181,6 +181,28 @@
 	t.is(state.commitIndex, 3);
 });
 
+test('a join request reaches the leader through any member, and is passed on just once', (t) => {
+	const state = createKeeper([], 1);
+	const heartbeat = { kind: 'heartbeat', commitIndex: 1, round: 1, freshIndex: 1, heldMs: 0 } as const;
+	receive(state, 'keeper-1', heartbeat, 1);
+	const join = {
+		kind: 'join',
+		groupId: 'group',
+		processId: 'keeper-9',
+		address: 'a',
+		diskId: 'new-disk',
+	} as const;
+	const relayed = { ...join, isRelayed: true };
+	t.deepEqual(stepCore(state, { kind: 'receive', from: 'keeper-9', message: join }), [
+		{ kind: 'send', to: 'keeper-1', message: relayed },
+	]);
+	t.deepEqual(stepCore(state, { kind: 'receive', from: 'keeper-2', message: relayed }), []);
+	t.deepEqual(
+		stepCore(state, { kind: 'receive', from: 'keeper-9', message: { ...join, groupId: 'other' } }),
+		[],
+	);
+});
+
 test('a vote answer from, or a vote request to, a disk other than the listed one is ignored', (t) => {
 	const state = createKeeper([], 1);
 	nowMs += 1000;
--- a/src/replication/test/replicatedLog.test.ts
+++ b/src/replication/test/replicatedLog.test.ts
@@ -152,6 +152,25 @@
 	await group.stop();
 });
 
+test('a keeper whose settings do not list the leader is admitted as a learner', async (t) => {
+	const group = await TestGroup.start(3);
+	const leader = await group.waitForLeader();
+	const followers = await group.waitForFollowers();
+	const added = await TestKeeper.create('keeper-9', group.root);
+	const listed = followers.map(({ processId, address }) => ({ processId, address }));
+	await added.open([...listed, { processId: 'keeper-9', address: added.address }], { mayForm: false });
+	const member = { processId: 'keeper-9', address: added.address, isVoter: false, diskId: '' };
+	await waitFor('the keeper has asked to join', waitTimeoutMs, async () => {
+		const result = await leader.runningLog.changeMember({ action: 'addLearner', member }, waitTimeoutMs);
+		return result.isOk();
+	});
+	await group.propose(leader, 'a');
+	await group.waitForValues(added, 1);
+	t.deepEqual(added.machine.values, ['a']);
+	await added.stop();
+	await group.stop();
+});
+
 test('leadership is transferred before a planned stop', async (t) => {
 	const group = await TestGroup.start(3);
 	const leader = await group.waitForLeader();
