Agents believe announcements of another worker only once the worker itself confirms them

Cause: an announcement with a later birth or another ID made the agent forget its worker and report all runs as lost, without a sign from the worker. The log line worker.lost with the cause "reborn" ruled out that runs were moved because of the pool.

Change: AnnouncementVerifier. Announcements with another address or pool than the settings' are ignored; one of another worker or another incarnation counts once the worker at the agent's address has answered under that identity. On related paths: a message that the worker leaves ends its runs only once it stops answering, and a sequence number that is too large shuts out the worker's own announcements for 3.5 s only, not for good.

Two tests changed. "with a presumed worker ..." started a task in the same turn as the first announcement; it waits until the worker has confirmed it.

--- a/src/dispatch/common/knownWorker.ts
+++ b/src/dispatch/common/knownWorker.ts
@@ -5,6 +5,8 @@
 
 /** Time for which an announcement is valid; workers renew theirs every 1.5 s. */
 const announcementTtlMs = 6000;
+/** Time for which an announcement with a lower sequence number counts as older; two announcements and a margin. */
+const sequenceTtlMs = 3500;
 /** Time for which the announced capacity is valid, since it may shrink. */
 const capacityTtlMs = 4000;
 
@@ -18,7 +20,7 @@
  * Holds the last announcement of an agent's worker.
  *
  * @example
- * if (worker.classifyAnnouncement(announcement) === 'newLife') { worker.discard(); }
+ * if (worker.classifyAnnouncement(announcement, nowMs) === 'newLife') { worker.discard(); }
  * worker.setAnnouncement(announcement, nowMs);
  */
 export class KnownWorker {
@@ -28,6 +30,7 @@
 	private _incarnation = 0;
 	private _isPresumed = false;
 	private _hasCapacityExpired = false;
+	private _hasLeft = false;
 
 	/** Last announcement, or the presumed one; `undefined` while no worker is known. */
 	get announcement(): WorkerAnnouncement | undefined {
@@ -60,10 +63,12 @@
 	}
 
 	/** Classifies an announcement by comparison with the known worker. */
-	classifyAnnouncement(announcement: WorkerAnnouncement): AnnouncementStatus {
+	classifyAnnouncement(announcement: WorkerAnnouncement, nowMs: number): AnnouncementStatus {
 		const known = this._isPresumed ? undefined : this._announcement;
 		if (known?.workerId === announcement.workerId && !this._isOtherIncarnation(announcement.bornAtMs)) {
-			return announcement.sequence > known.sequence ? 'renewed' : 'late';
+			// A wrong sequence number, which someone else may have sent, must not outlast a few announcements.
+			const isOutdated = nowMs - this._announcedAtMs > sequenceTtlMs;
+			return isOutdated || announcement.sequence > known.sequence ? 'renewed' : 'late';
 		}
 		if (isEarlierIncarnation(announcement.bornAtMs, this._bornAtMs)) {
 			return 'late';
@@ -79,6 +84,7 @@
 		this._announcedAtMs = nowMs;
 		this._isPresumed = false;
 		this._hasCapacityExpired = false;
+		this._hasLeft = false;
 		this._bornAtMs = announcement.bornAtMs ?? this._bornAtMs;
 	}
 
@@ -94,11 +100,23 @@
 		return false;
 	}
 
+	/** Whether the worker has said that it exits now. */
+	get hasLeft(): boolean {
+		return this._hasLeft;
+	}
+
+	/** Records that the worker has said that it exits; it accepts no tasks unless it announces itself again. */
+	markLeft(): void {
+		this._hasLeft = true;
+		this._announcement = this._announcement && { ...this._announcement, isLeaving: true, remainingMs: 0 };
+	}
+
 	/** Discards the worker; it must announce itself again. */
 	discard(): void {
 		this._incarnation += 1;
 		this._announcement = undefined;
 		this._isPresumed = false;
+		this._hasLeft = false;
 		this._bornAtMs = undefined;
 	}
 
--- a/src/dispatch/node/executorOptions.ts
+++ b/src/dispatch/node/executorOptions.ts
@@ -12,8 +12,10 @@
 
 /** Options of a `TaskExecutor`. */
 export interface ExecutorOptions {
-	/** Address to which orders are sent before the worker has announced itself. */
+	/** Address of the worker. Announcements with another one are ignored. */
 	readonly workerAddress: string;
+	/** Pool of the worker. Announcements of other pools are ignored; absent if any pool is accepted. */
+	readonly workerPool?: string | undefined;
 	/** First fencing token; higher than that of any earlier incarnation of the agent. */
 	readonly fencingToken: number;
 	/** Presumed announcement, used until the worker announces itself. If absent, the worker is unknown until then. */
--- a/src/dispatch/node/taskExecutor.ts
+++ b/src/dispatch/node/taskExecutor.ts
@@ -19,6 +19,7 @@
 	type WorkerTime,
 } from '../common/dispatchMessages.js';
 import { logAnnouncement } from '../common/announcementLog.js';
+import { AnnouncementVerifier, type AcceptedAnnouncement } from './announcementVerifier.js';
 import { CrashRecorder, type CrashEvidence } from '../common/crashRecorder.js';
 import { createHeldRun, type HeldRun, type HeldRuns } from '../common/heldRuns.js';
 import { KnownWorker } from '../common/knownWorker.js';
@@ -53,6 +54,7 @@
 	private readonly _lease: WorkerLease;
 	private readonly _orderSender: RunOrderSender;
 	private readonly _poller: WorkerPoller;
+	private readonly _verifier: AnnouncementVerifier;
 	private readonly _lostEntries = this._register(new LostEntryMonitor());
 	private readonly _executorStartedMs: number;
 	private readonly _worker = new KnownWorker();
@@ -98,6 +100,22 @@
 		this._poller = this._register(
 			new WorkerPoller(this, { ..._options, taskWorker: _taskWorker, lease: this._lease }),
 		);
+		this._verifier = this._register(
+			new AnnouncementVerifier({
+				..._options,
+				worker: this._worker,
+				taskWorker: _taskWorker,
+				getContext: () => this.getOrderContext(),
+				raiseToken: () => {
+					this._orderSender.raiseToken();
+				},
+			}),
+		);
+		this._register(
+			this._verifier.onDidAccept((accepted) => {
+				this._acceptAnnouncement(accepted);
+			}),
+		);
 		if (_options.presumedWorker !== undefined) {
 			this._worker.setPresumedAnnouncement(_options.presumedWorker, this._executorStartedMs);
 		}
@@ -126,13 +144,13 @@
 		};
 	}
 
-	/** Handles an announcement of the worker. */
+	/** Handles an announcement that the worker, or someone else, has sent. */
 	handleAnnouncement(announcement: WorkerAnnouncement): void {
-		const change = this._worker.classifyAnnouncement(announcement);
-		if (change === 'late') {
-			return;
-		}
-		if (change === 'newLife') {
+		this._verifier.handle(announcement);
+	}
+
+	private _acceptAnnouncement({ announcement, isNewLife }: AcceptedAnnouncement): void {
+		if (isNewLife) {
 			this._forgetWorker('reborn');
 		}
 		logAnnouncement(this._options.log, this._worker, announcement, this._runs.size);
@@ -140,13 +158,14 @@
 		this._scheduleStateReports();
 	}
 
-	/** Handles the final message of a worker that leaves. No task runs there any more. */
+	/** Handles the final message of a worker that leaves. Its runs have ended once it doesn't answer any more. */
 	handleWorkerLeft(workerId: string): void {
 		if (this._worker.announcement?.workerId !== workerId) {
 			return;
 		}
 		this._options.log.info('worker.left', { workerId, runs: this._runs.size });
-		this._forgetWorker('left');
+		this._worker.markLeft();
+		this._scheduleStateReports();
 	}
 
 	/** Handles a new connection to an entry. Stops the runs of earlier incarnations of the entry. */
@@ -365,8 +384,14 @@
 		this._scheduleStateReports();
 	}
 
-	handleConnectionRefused(sinceMs: number): void {
-		this._recordCrash('connectionRefused', sinceMs);
+	handleUnansweredPoll(sinceMs: number, isConnectionRefused: boolean): void {
+		if (this._worker.hasLeft) {
+			this._forgetWorker('left');
+			return;
+		}
+		if (isConnectionRefused) {
+			this._recordCrash('connectionRefused', sinceMs);
+		}
 	}
 
 	private _recordCrash(evidence: CrashEvidence, crashedAtMs: number): void {
@@ -428,7 +453,7 @@
 
 	getOrderContext(): OrderContext {
 		return {
-			address: this._worker.announcement?.address ?? this._options.workerAddress,
+			address: this._options.workerAddress,
 			workerId: this._worker.workerId,
 			fencingToken: this._lease.fencingToken,
 		};
--- a/src/dispatch/node/test/fakeTaskWorker.ts
+++ b/src/dispatch/node/test/fakeTaskWorker.ts
@@ -37,6 +37,8 @@
 	/** Whether orders with a lower token than the highest one are refused. */
 	checksTokens = true;
 	bornAtMs: number | undefined = 1000;
+	/** ID of the worker; orders for another one are refused. If absent, orders for any ID are carried out. */
+	workerId: string | undefined;
 	acknowledgedEnd = 0;
 	/** Number of starts that were carried out but timed out without an answer. */
 	unansweredStarts = 0;
@@ -115,6 +117,9 @@
 		if (this.holdHandling !== 'answered') {
 			return this._timeOut();
 		}
+		if (this.workerId !== undefined && order.workerId !== undefined && order.workerId !== this.workerId) {
+			return { kind: 'refused', reason: 'otherWorker' };
+		}
 		if (this.checksTokens && order.fencingToken < this.highestToken) {
 			return { kind: 'refused', reason: 'fenced' };
 		}
--- a/src/dispatch/node/test/malformedMessages.test.ts
+++ b/src/dispatch/node/test/malformedMessages.test.ts
@@ -45,6 +45,7 @@
 	],
 	state: {
 		workerId: 'w',
+		workerTime: { incarnation: 0, clockMs: 1 },
 		dataCentre: 'a',
 		pool: 'pool',
 		labels: ['a'],
--- a/src/dispatch/node/test/taskExecutor.test.ts
+++ b/src/dispatch/node/test/taskExecutor.test.ts
@@ -57,6 +57,7 @@
 			this.worker,
 			{
 				workerAddress: '127.0.0.1:1',
+				workerPool: 'pool',
 				fencingToken: 100,
 				presumedWorker,
 				clock,
@@ -392,10 +393,63 @@
 	t.like(harness.ends()[0], { jobId: 'next', reason: 'notAccepting' });
 	t.is(harness.worker.running.size, 1);
 	harness.executor.handleWorkerLeft('w-1');
+	harness.worker.holdHandling = 'lost';
 	await waitUntil(() => harness.ends().length === 2);
 	t.like(harness.ends()[1], { jobId: 'job', end: 'lost' });
 });
 
+const announcementsOfOthers: Readonly<Record<string, Partial<WorkerAnnouncement>>> = {
+	'another pool': { pool: 'other' },
+	'another pool and a later birth': { pool: 'other', bornAtMs: 2000 },
+	'another address': { address: '127.0.0.1:99999' },
+	'a later birth': { bornAtMs: 2000 },
+	'another ID': { workerId: 'w-2' },
+	'another ID and a later birth': { workerId: 'w-2', bornAtMs: 2000 },
+};
+
+for (const [difference, change] of Object.entries(announcementsOfOthers)) {
+	test(`an announcement of someone else with ${difference} does not end the runs of the worker`, async (t) => {
+		const harness = new Harness(t, (worker) => {
+			worker.workerId = 'w-1';
+		});
+		await harness.makeReady();
+		harness.start(1, 'job');
+		await waitUntil(() => harness.worker.running.size === 1);
+		harness.announce(change);
+		await new Promise((resolve) => setTimeout(resolve, 200));
+		harness.start(1, 'next');
+		await waitUntil(() => harness.worker.running.size === 2);
+		t.deepEqual(harness.ends(), []);
+	});
+}
+
+test('a worker that starts anew under another ID is used once it answers under that ID', async (t) => {
+	const harness = new Harness(t, (worker) => {
+		worker.workerId = 'w-1';
+	});
+	await harness.makeReady();
+	harness.start(1, 'job');
+	await waitUntil(() => harness.worker.running.size === 1);
+	harness.worker.restart(2000);
+	harness.worker.workerId = 'w-2';
+	harness.announce({ workerId: 'w-2', bornAtMs: 2000 });
+	await waitUntil(() => harness.state?.workerId === 'w-2' && harness.state.isAccepting);
+	t.like(harness.ends()[0], { jobId: 'job', end: 'lost' });
+});
+
+test('a message of someone else that the worker leaves does not end its runs, and the next announcement undoes it', async (t) => {
+	const harness = new Harness(t);
+	await harness.makeReady();
+	harness.start(1, 'job');
+	await waitUntil(() => harness.worker.running.size === 1);
+	harness.executor.handleWorkerLeft('w-1');
+	await waitUntil(() => harness.state?.isAccepting === false);
+	await new Promise((resolve) => setTimeout(resolve, 200));
+	harness.announce();
+	await waitUntil(() => harness.state?.isAccepting === true);
+	t.deepEqual(harness.ends(), []);
+});
+
 test('a run number below the last one of the task is refused, and the refusal contains the last one', async (t) => {
 	const harness = new Harness(t);
 	await harness.makeReady();
@@ -433,6 +487,7 @@
 	await waitUntil(() => harness.worker.running.size === 1);
 	t.is(harness.worker.starts[0]?.workerId, undefined);
 	harness.announce();
+	await waitUntil(() => harness.state?.workerId === 'w-1');
 	harness.start(1, 'next');
 	await waitUntil(() => harness.worker.running.size === 2);
 	t.is(harness.worker.starts[1]?.workerId, 'w-1');
--- a/src/dispatch/node/workerPoller.ts
+++ b/src/dispatch/node/workerPoller.ts
@@ -41,8 +41,11 @@
 	handleLeaseLapsed(): void;
 	/** Handles that the worker starts or stops responding; `message` describes the missing answer. */
 	handleRespondingChanged(isResponding: boolean, message: string): void;
-	/** Handles that nothing listens at the worker's address any more; `sinceMs` is the time of the first missing answer. */
-	handleConnectionRefused(sinceMs: number): void;
+	/**
+	 * Handles that the worker has not answered a poll. `sinceMs` is the time of the first missing answer; if the connection was
+	 * refused, nothing listens at the worker's address any more.
+	 */
+	handleUnansweredPoll(sinceMs: number, isConnectionRefused: boolean): void;
 }
 
 /** Services that a {@link WorkerPoller} uses. */
@@ -123,9 +126,7 @@
 		}
 		if (answer.kind === 'unanswered') {
 			this._unansweredSinceMs ??= this._services.clock.nowMs();
-			if (answer.isConnectionRefused === true) {
-				this._host.handleConnectionRefused(this._unansweredSinceMs);
-			}
+			this._host.handleUnansweredPoll(this._unansweredSinceMs, answer.isConnectionRefused === true);
 			this._handleUnansweredPoll(answer.message);
 		}
 		await new Promise((resolve) => setTimeout(resolve, retryDelayMs));
