Odd status reports neither end the agent's poll loop nor are believed

Callers got 504 for the jobs at work, then 503 for each later one, after one status report with a port out of range or a URL as the address.

Cause: the address was used in request(), which throws for it; the rejection ended the loop that polls the worker, for good.

The shared schema of addresses checks ports and IP numbers.

--- a/src/dispatch/node/workerPoller.ts
+++ b/src/dispatch/node/workerPoller.ts
@@ -82,33 +82,43 @@
 	/** Starts polling. */
 	start(): void {
 		this._pollUntilDisposed().catch((error: unknown) => {
-			this._services.log.error('worker.holdFailed', { message: describeError(error) });
+			this._services.log.error('worker.pollingEnded', { message: describeError(error) });
 		});
 	}
 
+	/** Polls the worker again and again. A poll that fails ends neither the loop nor the agent. */
 	private async _pollUntilDisposed(): Promise<void> {
-		const { taskWorker, lease, clock } = this._services;
 		while (!this._isDisposed) {
-			const { incarnation, hasRuns, acknowledgedEnd } = this._host.getPollState();
-			const sentMs = clock.nowMs();
-			// An unanswered renewal may still take effect. After repeated unanswered polls the lease is no longer renewed, so
-			// that it lapses and the runs end.
-			const shouldRenew = hasRuns && lease.isClockKnown && this._unansweredPolls < unansweredPollLimit;
-			const leaseUntilMs = shouldRenew ? lease.renew(sentMs) : undefined;
-			const waitMs = hasRuns ? busyPollWaitMs : idlePollWaitMs;
-			const answer = await taskWorker.hold({
-				...this._host.getOrderContext(),
-				leaseUntilMs,
-				acknowledgedEnd,
-				// The first poll only reads the worker's clock, so the worker does not wait.
-				waitMs: lease.isClockKnown ? waitMs : 0,
-			});
-			if (incarnation === this._host.getPollState().incarnation) {
-				await this._handleAnswer(answer, sentMs);
+			try {
+				await this._poll();
+			} catch (error) {
+				this._services.log.error('worker.pollFailed', { message: describeError(error) });
+				await new Promise((resolve) => setTimeout(resolve, retryDelayMs));
 			}
 		}
 	}
 
+	private async _poll(): Promise<void> {
+		const { taskWorker, lease, clock } = this._services;
+		const { incarnation, hasRuns, acknowledgedEnd } = this._host.getPollState();
+		const sentMs = clock.nowMs();
+		// An unanswered renewal may still take effect. After repeated unanswered polls the lease is no longer renewed, so
+		// that it lapses and the runs end.
+		const shouldRenew = hasRuns && lease.isClockKnown && this._unansweredPolls < unansweredPollLimit;
+		const leaseUntilMs = shouldRenew ? lease.renew(sentMs) : undefined;
+		const waitMs = hasRuns ? busyPollWaitMs : idlePollWaitMs;
+		const answer = await taskWorker.hold({
+			...this._host.getOrderContext(),
+			leaseUntilMs,
+			acknowledgedEnd,
+			// The first poll only reads the worker's clock, so the worker does not wait.
+			waitMs: lease.isClockKnown ? waitMs : 0,
+		});
+		if (incarnation === this._host.getPollState().incarnation) {
+			await this._handleAnswer(answer, sentMs);
+		}
+	}
+
 	private async _handleAnswer(answer: HoldAnswer, sentMs: number): Promise<void> {
 		if (answer.kind === 'held') {
 			this._unansweredPolls = 0;
--- a/src/services/settings/common/settingsSchema.ts
+++ b/src/services/settings/common/settingsSchema.ts
@@ -2,13 +2,16 @@
 
 import * as z from 'zod';
 
+const maxPort = 65_535;
+
 /** An IP number and a port, such as `127.0.0.1:7000`. */
 export const addressSchema = z
 	.string()
 	.regex(
 		/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
 		'Give an IP number and a port, such as "127.0.0.1:7000".',
-	);
+	)
+	.refine(isIpAndPort, `Give a valid IP number and a port of at most ${maxPort}.`);
 
 /** A name of a process, data centre, rack, pool, route or team. */
 export const nameSchema = z
@@ -53,3 +56,12 @@
 	log: logSettingsSchema,
 	metrics: metricsSettingsSchema,
 };
+
+function isIpAndPort(address: string): boolean {
+	const separator = address.lastIndexOf(':');
+	const host = address.slice(0, separator);
+	const isIp = host.startsWith('[')
+		? z.ipv6().safeParse(host.slice(1, -1)).success
+		: z.ipv4().safeParse(host).success;
+	return isIp && Number(address.slice(separator + 1)) <= maxPort;
+}
