A member of a view that can't be read is left out, without an effect on the others

A process that read a member with a port out of range closed the connection, and would have ended in the maintenance 250 ms later, where nothing catches the error. Only processes that know the shared secret can send such a member.

Cause: views and routing messages were used unchecked. Change: readView keeps the members that can be read, and logs the number of the others; versions and documents of the routing are checked.

--- a/src/cluster/node/clusterClient.ts
+++ b/src/cluster/node/clusterClient.ts
@@ -7,7 +7,8 @@
 import type { IConnection, Message } from '../../services/transport/common/transport.js';
 import type { ConnectionOptions } from '../../services/transport/node/frameConnection.js';
 import { FrameConnector } from '../../services/transport/node/frameConnector.js';
-import type { ClusterView, EntryAddress, ToSubscriberMessage } from '../common/clusterMessages.js';
+import { isRoutingMessage, isRoutingVersionMessage, readView } from '../common/clusterMessageChecks.js';
+import type { ClusterView, EntryAddress, ViewMessage } from '../common/clusterMessages.js';
 import { MemberTable } from '../common/memberTable.js';
 
 /** Interval at which expired members are removed and unanswered routing fetches are repeated. */
@@ -111,8 +112,15 @@
 		this.mergeView({ keepers: seeds.map((address) => ({ address, silentMs: 0 })), entries: [] });
 	}
 
-	/** Merges the membership view of another process and updates the connections. */
-	mergeView({ keepers, entries }: ClusterView): void {
+	/** Merges the membership view of another process and updates the connections. Ignores members that can't be read. */
+	mergeView(received: ClusterView): void {
+		const {
+			view: { keepers, entries },
+			unreadableCount,
+		} = readView(received);
+		if (unreadableCount > 0) {
+			this._options.log.warn('cluster.membersIgnored', { unreadable: unreadableCount });
+		}
 		const others = entries.filter(({ address }) => address !== this._options.ownAddress);
 		const hasNewMember = this._members.merge({ keepers, entries: others }, this._options.clock.nowMs());
 		this._updateConnections();
@@ -165,20 +173,22 @@
 		return server;
 	}
 
-	private _handleMessage(server: Server, connection: IConnection, received: Message): void {
-		const message = received as ToSubscriberMessage;
-		switch (message.kind) {
-			case 'clusterView':
-				this.mergeView(message);
-				return;
-			case 'routingVersion':
-				server.routingVersion = message.version;
-				this._fetchRoutingIfBehind(server, connection);
-				return;
-			case 'routing':
-				server.routingFetchSentMs = -Infinity;
-				this._storeRoutingIfNewer(message.version, message.document);
+	private _handleMessage(server: Server, connection: IConnection, message: Message): void {
+		if (message.kind === 'clusterView') {
+			this.mergeView(message as ViewMessage);
+			return;
+		}
+		if (isRoutingVersionMessage(message)) {
+			server.routingVersion = message.version;
+			this._fetchRoutingIfBehind(server, connection);
+			return;
+		}
+		if (isRoutingMessage(message)) {
+			server.routingFetchSentMs = -Infinity;
+			this._storeRoutingIfNewer(message.version, message.document);
+			return;
 		}
+		this._options.log.warn('cluster.messageIgnored', { address: server.address, kind: message.kind });
 	}
 
 	private _fetchRoutingIfBehind(server: Server, connection: IConnection): void {
--- a/src/cluster/node/viewServer.ts
+++ b/src/cluster/node/viewServer.ts
@@ -3,7 +3,8 @@
 import { Disposable, toDisposable } from '../../base/common/disposable.js';
 import type { Event } from '../../base/common/event.js';
 import { Emitter } from '../../base/common/event.js';
-import type { IConnection, Message } from '../../services/transport/common/transport.js';
+import { TransportError, type IConnection, type Message } from '../../services/transport/common/transport.js';
+import { isAddress } from '../common/clusterMessageChecks.js';
 import type { ClusterView, EntryAddress, FromSubscriberMessage } from '../common/clusterMessages.js';
 import { memberExpiryMs } from '../common/memberTable.js';
 
@@ -86,7 +87,10 @@
 		const message = received as FromSubscriberMessage;
 		if (message.kind === 'subscribeView') {
 			const { processId, role } = subscriber.connection.peer;
-			if (role === 'entry' && typeof message.address === 'string') {
+			if (message.address !== undefined && !isAddress(message.address)) {
+				throw new TransportError(`The process "${processId}" listens at an address that can't be read.`);
+			}
+			if (role === 'entry' && message.address !== undefined) {
 				subscriber.entry = { processId, address: message.address };
 				this._onDidChangeEntries.fire(undefined);
 			}
