--- /dev/null
+++ b/src/dispatch/node/test/concurrentRuns.test.ts
@@ -0,0 +1,105 @@
+/**
+ * Two runs of one task are never at work at the same time, while agents stand still, connections are cut, and entries and agents
+ * restart. YUCCAARCH_RUN_SEEDS sets the number of seeds, YUCCAARCH_FIRST_SEED the first one.
+ */
+
+import test from 'ava';
+import { SeededRandom } from '../../../base/common/random.js';
+import type { CarriedOutStart } from './crashableWorker.js';
+import { MemorySystem } from './memorySystem.js';
+
+const firstSeed = Number(process.env.YUCCAARCH_FIRST_SEED ?? 1);
+const seedCount = Number(process.env.YUCCAARCH_RUN_SEEDS ?? 3);
+const durationMs = 8000;
+const entryCount = 2;
+const workerCount = 4;
+const needs = { cpuMillis: 1000, memoryMb: 10, accelerators: 0 };
+const capacity = { cpuMillis: 6000, memoryMb: 1000, accelerators: 0 };
+
+async function sleep(ms: number): Promise<void> {
+	await new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+function findConcurrentRuns(starts: readonly CarriedOutStart[]): string[] {
+	const byTask = new Map<string, CarriedOutStart[]>();
+	for (const start of starts) {
+		byTask.set(start.taskKey, [...(byTask.get(start.taskKey) ?? []), start]);
+	}
+	return [...byTask.values()].flatMap((runs) =>
+		runs.flatMap((run, index) =>
+			runs
+				.slice(0, index)
+				.filter((other) => other.atMs < run.endedAtMs && run.atMs < other.endedAtMs)
+				.map((other) => {
+					const overlapMs = Math.min(other.endedAtMs, run.endedAtMs) - Math.max(other.atMs, run.atMs);
+					const runsAt = [other, run].map((each) => `run ${each.run} at ${each.workerKey}`).join(', ');
+					return `${run.taskKey}: ${runsAt}, for ${Math.round(overlapMs)} ms`;
+				}),
+		),
+	);
+}
+
+/** Causes one trouble, and ends it. */
+async function causeTrouble(system: MemorySystem, random: SeededRandom): Promise<void> {
+	const agent = random.integer(0, workerCount - 1);
+	const entry = random.integer(0, entryCount - 1);
+	switch (random.integer(0, 4)) {
+		case 0:
+			system.pauseAgent(agent);
+			await sleep(random.integer(50, 400));
+			// The entries close their connections after a silence, while what they sent still waits.
+			for (let index = 0; index < entryCount; index += 1) {
+				system.cut(index, agent);
+			}
+			await sleep(random.integer(100, 2500));
+			system.resumeAgent(agent);
+			system.heal();
+			return;
+		case 1:
+			system.pauseAgent(agent);
+			await sleep(random.integer(50, 700));
+			system.resumeAgent(agent);
+			return;
+		case 2:
+			system.cut(entry, agent);
+			await sleep(random.integer(10, 1500));
+			system.heal();
+			return;
+		case 3:
+			system.restartAgent(agent);
+			return;
+		default:
+			system.restartEntry(entry);
+	}
+}
+
+for (let seed = firstSeed; seed < firstSeed + seedCount; seed += 1) {
+	test.serial(
+		`no task runs twice at the same time while agents stand still and connections are cut, seed ${seed}`,
+		async (t) => {
+			const random = new SeededRandom(seed);
+			const system = new MemorySystem(t, { entryCount, workerCount, capacity, workerRestartMs: 600 });
+			await system.waitUntilReady();
+			const endMs = performance.now() + durationMs;
+			const outcomes: Promise<unknown>[] = [];
+			const submitJobs = async (): Promise<void> => {
+				while (performance.now() < endMs) {
+					const script = { durationMs: random.integer(50, 1200), needs };
+					const job = { jobId: `job-${outcomes.length}`, taskCount: 3, waitMs: 3000, objectiveMs: 3000 };
+					outcomes.push(system.submit(random.integer(0, entryCount - 1), script, job));
+					await sleep(random.integer(50, 250));
+				}
+			};
+			const causeTroubles = async (): Promise<void> => {
+				while (performance.now() < endMs) {
+					await sleep(random.integer(50, 500));
+					await causeTrouble(system, random);
+				}
+			};
+			await Promise.all([submitJobs(), causeTroubles()]);
+			await sleep(3500);
+			t.deepEqual(findConcurrentRuns(system.workers.flatMap(({ starts }) => starts)), []);
+			t.true(system.workers.some(({ starts }) => starts.some(({ run }) => run > 1)));
+		},
+	);
+}
--- a/src/dispatch/node/test/crashableWorker.ts
+++ b/src/dispatch/node/test/crashableWorker.ts
@@ -41,12 +41,15 @@
 	readonly run: number;
 	readonly workerKey: string;
 	readonly atMs: number;
+	/** Time at which the run ended or its worker crashed; infinite before. */
+	endedAtMs: number;
 }
 
 interface Run {
 	readonly order: StartOrder;
 	readonly script: TaskScript;
 	readonly startedMs: number;
+	readonly record: CarriedOutStart;
 	readonly timers: NodeJS.Timeout[];
 }
 
@@ -228,6 +231,7 @@
 			run: order.run,
 			workerKey: this.workerKey,
 			atMs: performance.now(),
+			endedAtMs: Infinity,
 		};
 		const isOver = countFittingTasks(script.needs, addNeeds(this._capacity, this.used, -1)) === 0;
 		this.starts.push(start);
@@ -245,7 +249,13 @@
 			},
 			isCrashing ? (script.crashAfterMs ?? 10) : script.durationMs,
 		);
-		this._runs.set(getTaskKey(order), { order, script, startedMs: performance.now(), timers: [timer] });
+		this._runs.set(getTaskKey(order), {
+			order,
+			script,
+			startedMs: performance.now(),
+			record: start,
+			timers: [timer],
+		});
 	}
 
 	private _end({ jobId, taskIndex, run }: StopOrder, end: EndedTask['end']): void {
@@ -255,6 +265,7 @@
 			return;
 		}
 		known.timers.forEach(clearTimeout);
+		known.record.endedAtMs = performance.now();
 		this._runs.delete(key);
 		this._voidRuns.set(key, Math.max(run, this._voidRuns.get(key) ?? 0));
 		this._lastEnd += 1;
@@ -270,7 +281,8 @@
 	}
 
 	private _clear(): void {
-		for (const { timers } of this._runs.values()) {
+		for (const { timers, record } of this._runs.values()) {
+			record.endedAtMs = performance.now();
 			timers.forEach(clearTimeout);
 		}
 		this._runs.clear();
