--- a/src/cluster/common/clusterMessages.ts
+++ b/src/cluster/common/clusterMessages.ts
@@ -57,8 +57,5 @@
 	readonly document: Uint8Array;
 }
 
-/** Messages that a subscriber receives. */
-export type ToSubscriberMessage = ViewMessage | RoutingVersionMessage | RoutingMessage;
-
 /** Messages that a subscriber sends. */
 export type FromSubscriberMessage = SubscribeMessage | FetchRoutingMessage;
