--- a/src/dispatch/node/test/taskExecutor.test.ts
+++ b/src/dispatch/node/test/taskExecutor.test.ts
@@ -6,7 +6,12 @@
 import test, { type ExecutionContext } from 'ava';
 import { monotonicClock, type IClock } from '../../../base/common/clock.js';
 import { nullLogService } from '../../../services/log/common/log.js';
-import type { AgentReportMessage, TaskEndReport, WorkerState } from '../../common/dispatchMessages.js';
+import type {
+	AgentReportMessage,
+	TaskEndReport,
+	WorkerState,
+	WorkerTime,
+} from '../../common/dispatchMessages.js';
 import type { WorkerAnnouncement } from '../../common/taskWorker.js';
 import { leaseDurationMs } from '../../common/workerLease.js';
 import { reconnectGraceMs } from '../lostEntryMonitor.js';
@@ -32,6 +37,8 @@
 	readonly worker = new FakeTaskWorker(monotonicClock);
 	readonly reports: { readonly connectionId: number; readonly report: AgentReportMessage }[] = [];
 	readonly executor: TaskExecutor;
+	/** Time that start messages carry. */
+	sentAt: WorkerTime | undefined;
 	private _sequence = 0;
 
 	constructor(
@@ -50,6 +57,7 @@
 			this.worker,
 			{
 				workerAddress: '127.0.0.1:1',
+				workerPool: 'pool',
 				fencingToken: 100,
 				presumedWorker,
 				clock,
@@ -78,7 +86,9 @@
 			...{ jobId, route: 'route', pool: 'pool', isCapacityEnforced },
 			...{ payload: 'x', needs, estimateMs: 300, tasks },
 		};
-		this.executor.handleStartTasks(connectionId, { kind: 'startTasks', sequence: 1, jobs: [job] });
+		this.executor.handleStartTasks(connectionId, {
+			...{ kind: 'startTasks', sequence: 1, sentAt: this.sentAt, jobs: [job] },
+		});
 	}
 
 	get state(): WorkerState | undefined {
@@ -307,6 +317,53 @@
 	});
 }
 
+test('an agent that was paused refuses the starts that arrived meanwhile', async (t) => {
+	const harness = new Harness(t);
+	await harness.makeReady();
+	harness.sentAt = harness.state?.workerTime;
+	harness.start(1, 'prompt');
+	await waitUntil(() => harness.worker.running.size === 1);
+	await new Promise((resolve) => setTimeout(resolve, 500));
+	harness.start(1, 'delayed');
+	await waitUntil(() => harness.ends().length === 1);
+	t.like(harness.ends()[0], { jobId: 'delayed', end: 'refused', reason: 'expired' });
+	t.deepEqual(
+		harness.worker.starts.map(({ jobId }) => jobId),
+		['prompt'],
+	);
+});
+
+test('an agent whose clock stood still in a pause starts nothing that arrived meanwhile, also once it knows the time', async (t) => {
+	let pausedMs = 0;
+	const clock: IClock = { nowMs: () => monotonicClock.nowMs() - pausedMs };
+	const harness = new Harness(t, undefined, undefined, clock);
+	await harness.makeReady();
+	const { incarnation, clockMs } = harness.state!.workerTime!;
+	pausedMs = 2000;
+	harness.sentAt = { incarnation, clockMs: clockMs - pausedMs };
+	const endMs = performance.now() + 300;
+	for (let run = 1; performance.now() < endMs; run += 1) {
+		harness.start(1, `delayed-${run}`);
+		await waitUntil(() => harness.ends().length === run);
+	}
+	t.is(harness.worker.running.size, 0);
+	t.true(harness.ends().every(({ end }) => end === 'refused'));
+	t.true(harness.ends().some(({ reason }) => reason === 'expired'));
+});
+
+test('a start that was sent to an earlier incarnation of the worker is refused', async (t) => {
+	const harness = new Harness(t);
+	await harness.makeReady();
+	harness.sentAt = harness.state?.workerTime;
+	harness.worker.restart(2000);
+	await waitUntil(() => harness.state === undefined);
+	harness.announce({ bornAtMs: 2000 });
+	await waitUntil(() => harness.state?.isAccepting === true);
+	harness.start(1, 'job');
+	await waitUntil(() => harness.ends().length === 1);
+	t.like(harness.ends()[0], { end: 'refused', reason: 'expired' });
+});
+
 test('an order to the earlier life of a worker that restarted under its ID is refused when it is carried out late', async (t) => {
 	const harness = new Harness(t);
 	await harness.makeReady();
@@ -336,10 +393,63 @@
 	t.like(harness.ends()[0], { jobId: 'next', reason: 'notAccepting' });
 	t.is(harness.worker.running.size, 1);
 	harness.executor.handleWorkerLeft('w-1');
+	harness.worker.holdHandling = 'lost';
 	await waitUntil(() => harness.ends().length === 2);
 	t.like(harness.ends()[1], { jobId: 'job', end: 'lost' });
 });
 
+const announcementsOfOthers: Readonly<Record<string, Partial<WorkerAnnouncement>>> = {
+	'another pool': { pool: 'other' },
+	'another pool and a later birth': { pool: 'other', bornAtMs: 2000 },
+	'another address': { address: '127.0.0.1:99999' },
+	'a later birth': { bornAtMs: 2000 },
+	'another ID': { workerId: 'w-2' },
+	'another ID and a later birth': { workerId: 'w-2', bornAtMs: 2000 },
+};
+
+for (const [difference, change] of Object.entries(announcementsOfOthers)) {
+	test(`an announcement of someone else with ${difference} does not end the runs of the worker`, async (t) => {
+		const harness = new Harness(t, (worker) => {
+			worker.workerId = 'w-1';
+		});
+		await harness.makeReady();
+		harness.start(1, 'job');
+		await waitUntil(() => harness.worker.running.size === 1);
+		harness.announce(change);
+		await new Promise((resolve) => setTimeout(resolve, 200));
+		harness.start(1, 'next');
+		await waitUntil(() => harness.worker.running.size === 2);
+		t.deepEqual(harness.ends(), []);
+	});
+}
+
+test('a worker that starts anew under another ID is used once it answers under that ID', async (t) => {
+	const harness = new Harness(t, (worker) => {
+		worker.workerId = 'w-1';
+	});
+	await harness.makeReady();
+	harness.start(1, 'job');
+	await waitUntil(() => harness.worker.running.size === 1);
+	harness.worker.restart(2000);
+	harness.worker.workerId = 'w-2';
+	harness.announce({ workerId: 'w-2', bornAtMs: 2000 });
+	await waitUntil(() => harness.state?.workerId === 'w-2' && harness.state.isAccepting);
+	t.like(harness.ends()[0], { jobId: 'job', end: 'lost' });
+});
+
+test('a message of someone else that the worker leaves does not end its runs, and the next announcement undoes it', async (t) => {
+	const harness = new Harness(t);
+	await harness.makeReady();
+	harness.start(1, 'job');
+	await waitUntil(() => harness.worker.running.size === 1);
+	harness.executor.handleWorkerLeft('w-1');
+	await waitUntil(() => harness.state?.isAccepting === false);
+	await new Promise((resolve) => setTimeout(resolve, 200));
+	harness.announce();
+	await waitUntil(() => harness.state?.isAccepting === true);
+	t.deepEqual(harness.ends(), []);
+});
+
 test('a run number below the last one of the task is refused, and the refusal contains the last one', async (t) => {
 	const harness = new Harness(t);
 	await harness.makeReady();
@@ -377,6 +487,7 @@
 	await waitUntil(() => harness.worker.running.size === 1);
 	t.is(harness.worker.starts[0]?.workerId, undefined);
 	harness.announce();
+	await waitUntil(() => harness.state?.workerId === 'w-1');
 	harness.start(1, 'next');
 	await waitUntil(() => harness.worker.running.size === 2);
 	t.is(harness.worker.starts[1]?.workerId, 'w-1');
