--- a/review/tools-2/deployment.mjs
+++ b/review/tools-2/deployment.mjs
@@ -90,6 +90,8 @@
 		this._deployment = deployment;
 		this.dataFolder = fields.dataDir;
 		this.isWanted = false;
+		/** Number of times that the process has ended. */
+		this.endCount = 0;
 	}
 
 	start() {
@@ -116,6 +118,7 @@
 			stream.on('data', (chunk) => appendFileSync(path.join(folder, `${this.name}.log`), chunk));
 		}
 		child.on('exit', (code, signal) => {
+			this.endCount += 1;
 			record.write(`process ${this.name} ended, code ${code}, signal ${signal}`);
 			if (this.isWanted && this.child === child) {
 				setTimeout(() => {
@@ -154,13 +157,18 @@
 	}
 }
 
+/** Draws a block of loopback addresses, so that deployments that run at the same time don't meet. */
+function chooseBlock() {
+	return `${16 + Math.floor(Math.random() * 200)}.${Math.floor(Math.random() * 256)}`;
+}
+
 /** Machines of a small deployment. */
 export class Deployment {
 	constructor(record) {
 		this.record = record;
 		this.folder = mkdtempSync(path.join(tmpdir(), 'review-'));
 		this.machines = [];
-		this._block = 16 + Math.floor(Math.random() * 200);
+		this._block = chooseBlock();
 		this._lastHost = 0;
 	}
 
@@ -170,20 +178,20 @@
 			const base = 20_000 + 20 * Math.floor(Math.random() * 600);
 			const ports = { peer: base, front: base + 1, ready: base + 2, control: base + 3, app: base + 4 };
 			const checks = [...Object.values(ports), 9464].flatMap((port) =>
-				[1, 2, 3].map((host) => isPortFree(`127.${this._block}.0.${host}`, port)),
+				[1, 2, 3].map((host) => isPortFree(`127.${this._block}.${host}`, port)),
 			);
 			if ((await Promise.all(checks)).every(Boolean)) {
 				this.ports = ports;
 				return;
 			}
-			this._block = 16 + Math.floor(Math.random() * 200);
+			this._block = chooseBlock();
 		}
 	}
 
 	/** Adds a machine; `seeds` are the keepers whose control addresses its settings name. */
 	add(role, name, { seeds, bootstrap = false, zone = 'montevideo-centro', service = 'ledger' }) {
 		this._lastHost += 1;
-		const ip = `127.${this._block}.0.${this._lastHost}`;
+		const ip = `127.${this._block}.${this._lastHost}`;
 		const { peer, front, ready, control, app } = this.ports;
 		const machine = new Machine(this, role, ip, {
 			...{ nodeName: name, zone, ip, bootstrap, service, seeds },
@@ -200,7 +208,7 @@
 
 	/** Control address of the keeper that is added as the `position`th machine, counted from 1. */
 	controlAddress(position) {
-		return `127.${this._block}.0.${position}:${this.ports.control}`;
+		return `127.${this._block}.${position}:${this.ports.control}`;
 	}
 
 	/** Ends all processes, and removes the temporary folder. */
