--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -11,8 +11,8 @@
 const recoveryMs = 12_000;
 /** Time for which the config is read back after the recovery; the pages ask for `contactMs`, 3 s, at least. */
 const readBackMs = 20_000;
-/** Pause between the end of the replaced machine and the loss of a disk. */
-const pauseMs = 1500;
+/** Pause between the end of the replaced machine and the change after which a disk is lost. */
+const pauseMs = catchupMs;
 
 await runCase(path.dirname(fileURLToPath(import.meta.url)), async (deployment, record, hasTrouble) => {
 	const operator = new Operator(record);
