--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -11,7 +11,7 @@
 
 /** Length of a `node_freeze` in the site file. */
 const freezeMs = 3500;
-const rounds = 5;
+const rounds = 10;
 /** Time limit of the site's clients. */
 const deadlineMs = 1500;
 const workerCount = 8;
@@ -29,15 +29,15 @@
 	})();
 	const jobs = [];
 	for (let round = 1; round <= rounds; round += 1) {
-		await sleep(4000);
+		await sleep(2500);
 		record.write(`round ${round}`);
 		const startedMs = performance.now();
 		// The entry gives a job up 30 ms before its client's time limit; those that end just after the freeze has begun count.
-		for (let position = 0; position < 24; position += 1) {
+		for (let position = 0; position < 32; position += 1) {
 			setTimeout(() => {
 				const job = createJob({ estimateMs: 1000, workMs: 3600 });
 				jobs.push(handIn(record, [first, second], job, { deadlineMs }));
-			}, position * 2);
+			}, position / 2);
 		}
 		await sleep(deadlineMs - 30 - (performance.now() - startedMs));
 		if (hasTrouble) {
@@ -45,7 +45,7 @@
 			await sleep(freezeMs);
 			first.signal('SIGCONT');
 		}
-		await sleep(3000);
+		await sleep(1500);
 	}
 	isOver = true;
 	await background;
