Review case 7: twelve workers and wider jobs

Case: twelve workers, and short jobs of 24 tasks, so that the entry has sent something to every agent just before each freeze.

--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -14,7 +14,7 @@
 const rounds = 10;
 /** Time limit of the site's clients. */
 const deadlineMs = 1500;
-const workerCount = 8;
+const workerCount = 12;
 
 await runCase(path.dirname(fileURLToPath(import.meta.url)), async (deployment, record, hasTrouble) => {
 	const system = await startSmallSystem(deployment, record, { entryCount: 2, workerCount });
@@ -23,7 +23,7 @@
 	// Short jobs, so that the entry keeps sending to all agents.
 	const background = (async () => {
 		while (!isOver) {
-			void postJob(first, createJob({ count: 4, cpu: 500, estimateMs: 60, workMs: 60 }), { deadlineMs });
+			void postJob(first, createJob({ count: 24, cpu: 50, estimateMs: 60, workMs: 60 }), { deadlineMs });
 			await sleep(25);
 		}
 	})();
