Review: fewer short jobs in case 7, and the lag of the stand-ins in the records

Cause: on a busy machine the stand-ins answered late, and some runs overlapped for up to 1.2 s for that reason alone.

Case: a third of the short tasks; each record says by how much the stand-ins were late at most.

--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -23,7 +23,7 @@
 	// Short jobs, so that the entry keeps sending to all agents.
 	const background = (async () => {
 		while (!isOver) {
-			void postJob(first, createJob({ count: 24, cpu: 50, estimateMs: 60, workMs: 60 }), { deadlineMs });
+			void postJob(first, createJob({ count: 8, cpu: 50, estimateMs: 60, workMs: 60 }), { deadlineMs });
 			await sleep(25);
 		}
 	})();
--- a/review/tools-2/deployment.mjs
+++ b/review/tools-2/deployment.mjs
@@ -3,7 +3,7 @@
  * machine is an address of its own in 127.0.0.0/8.
  */
 
-import { performance } from 'node:perf_hooks';
+import { monitorEventLoopDelay, performance } from 'node:perf_hooks';
 import { spawn } from 'node:child_process';
 import {
 	appendFileSync,
@@ -232,6 +232,9 @@
 	record.write(`the case runs ${hasTrouble ? 'with' : 'without'} the disruption`);
 	const deployment = new Deployment(record);
 	let code = 2;
+	// Stand-ins that answer late are no sound ones; this shows whether the machine was too busy for them.
+	const lag = monitorEventLoopDelay({ resolution: 5 });
+	lag.enable();
 	try {
 		await deployment.choosePorts();
 		const breaches = await play(deployment, record, hasTrouble);
@@ -242,6 +245,7 @@
 	} catch (error) {
 		record.write(`the case could not run: ${error.stack ?? error}`);
 	}
+	record.write(`the stand-ins were late by ${(lag.max / 1e6 - 5).toFixed(0)} ms at most`);
 	await deployment.dispose();
 	record.write(`exit code ${code}`);
 	process.stdout.write(
