Log which runs a lost worker had, what an entry reconciles, and refusals of tasks that are known

A refusal is logged where the agent knows a run of the task, which is rare; refusals for want of room are not.

--- a/src/dispatch/common/crashRecorder.ts
+++ b/src/dispatch/common/crashRecorder.ts
@@ -1,7 +1,7 @@
 /** Records the crashes of an agent's worker, with the runs that were there. */
 
 import type { ILogService } from '../../services/log/common/log.js';
-import { toRunRef } from './dispatchMessages.js';
+import { describeRun, toRunRef } from './dispatchMessages.js';
 import type { HeldRun } from './heldRuns.js';
 import type { KnownWorker } from './knownWorker.js';
 import { crashRetentionMs, type WorkerCrash } from './workerCrash.js';
@@ -72,7 +72,7 @@
 		this._log.warn('worker.crashed', {
 			workerId,
 			evidence,
-			runs: runs.map(({ jobId, taskIndex, run, ageMs }) => `${jobId}/${taskIndex}#${run}+${ageMs}`),
+			runs: runs.map((run) => `${describeRun(run)}+${run.ageMs}`),
 		});
 		return { workerKey, pool, runs, agoMs: 0 };
 	}
--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -14,7 +14,7 @@
 	removeRun,
 	type AgentRow,
 } from './agentTable.js';
-import { isSameStart, type AgentReportMessage, type TaskStartRef } from './dispatchMessages.js';
+import { describeRun, isSameStart, type AgentReportMessage, type TaskStartRef } from './dispatchMessages.js';
 import { createCounters, type IDispatchHost } from './dispatchHost.js';
 import { defaultRetryAfterMs, JobAdmission } from './jobAdmission.js';
 import { CrashHistory } from './crashHistory.js';
@@ -395,6 +395,14 @@
 
 	private _reconcileHeldRuns(agent: AgentRow, heldRuns: readonly TaskStartRef[]): void {
 		const { unknown, confirmed, missing } = compareHeldRuns(agent, heldRuns);
+		if (unknown.length > 0 || missing.length > 0) {
+			this._host.log('info', 'runs.reconciled', {
+				agentId: agent.agentId,
+				unknown: unknown.map(describeRun),
+				missing: missing.map(({ job, task }) => describeRun({ jobId: job.request.jobId, ...task })),
+				confirmed: confirmed.length,
+			});
+		}
 		for (const { task } of confirmed) {
 			task.phase = 'placed';
 		}
--- a/src/dispatch/common/dispatchMessages.ts
+++ b/src/dispatch/common/dispatchMessages.ts
@@ -164,6 +164,11 @@
 	return { jobId, taskIndex, run };
 }
 
+/** Describes a run for a log line: the job, the task and the run number. */
+export function describeRun({ jobId, taskIndex, run }: TaskRunRef): string {
+	return `${jobId}/${taskIndex}#${run}`;
+}
+
 /** Returns only the fields that identify a start. */
 export function toStartRef({ jobId, taskIndex, run, startId }: TaskStartRef): TaskStartRef {
 	return { jobId, taskIndex, run, ...(startId === undefined ? {} : { startId }) };
--- a/src/dispatch/common/runEndHandler.ts
+++ b/src/dispatch/common/runEndHandler.ts
@@ -120,7 +120,7 @@
 		const waitedMs = Math.round(nowMs - job.arrivedMs);
 		const decision = this._services.crashResponse.decideLostRun({ jobId, taskIndex, run }, agentId, losses);
 		this._services.host.log('info', 'task.lost', {
-			...{ jobId, route, taskIndex, agentId, losses, waitedMs, decision },
+			...{ jobId, route, taskIndex, run, agentId, losses, waitedMs, decision },
 			...{ certainCrashes: certain, possibleCrashes: possible },
 		});
 		switch (decision) {
@@ -141,6 +141,11 @@
 	private _handleRefusedStart(job: JobRow, task: TaskRow, agent: AgentRow, report: TaskEndReport): void {
 		this._services.counters.startsRefused += 1;
 		const knownRun = report.knownRun ?? 0;
+		if (knownRun > 0) {
+			const { jobId, taskIndex, run, reason } = report;
+			const { agentId } = agent;
+			this._services.host.log('info', 'task.refused', { jobId, taskIndex, run, reason, knownRun, agentId });
+		}
 		task.run = Math.max(task.run, knownRun);
 		if (report.reason !== 'olderRun' && knownRun === 0) {
 			recordRefusedStart(job);
--- a/src/dispatch/node/taskExecutor.ts
+++ b/src/dispatch/node/taskExecutor.ts
@@ -8,6 +8,7 @@
 import { Disposable } from '../../base/common/disposable.js';
 import { describeError } from '../../base/common/errors.js';
 import {
+	describeRun,
 	toRunRef,
 	toStartRef,
 	getTaskKey,
@@ -246,12 +247,15 @@
 	): void {
 		const refusal = this._findRefusalReason(job, task, sentAt);
 		if (refusal !== undefined) {
-			this._records.reportEnd(entryKey, {
-				...toStartRef(task),
-				end: 'refused',
-				reason: refusal,
-				knownRun: this._runs.getLastRunNumber(task),
-			});
+			const knownRun = this._runs.getLastRunNumber(task);
+			if (knownRun > 0) {
+				const heldRun = this._runs.get(task);
+				this._options.log.info('start.refused', {
+					...{ ...toRunRef(task), reason: refusal, knownRun, entryKey },
+					...{ heldPhase: heldRun?.phase, heldFor: heldRun?.entryKey },
+				});
+			}
+			this._records.reportEnd(entryKey, { ...toStartRef(task), end: 'refused', reason: refusal, knownRun });
 			return;
 		}
 		const run = createHeldRun(task, job, { entryKey, sentAt }, this._nowMs());
@@ -447,7 +451,9 @@
 		if (cause !== 'left') {
 			this._recordCrash(cause, this._poller.unansweredSinceMs ?? this._nowMs());
 		}
-		this._options.log.warn('worker.lost', { workerId, cause, runs: this._runs.size });
+		const runs = this._runs.all.map((run) => `${describeRun(run)} ${run.phase}`);
+		const { key: workerKey } = this._worker;
+		this._options.log.warn('worker.lost', { workerId, workerKey, cause, runCount: runs.length, runs });
 		this._worker.discard();
 		this._acknowledgedEnd = 0;
 		this._hasUnknownRuns = false;
