--- a/src/dispatch/node/test/crashableWorker.ts
+++ b/src/dispatch/node/test/crashableWorker.ts
@@ -135,7 +135,7 @@
 	}
 
 	/** Ends the worker's process; another incarnation starts after a while. */
-	crash(): void {
+	crash(restartMs = this._restartMs): void {
 		if (!this._isUp) {
 			return;
 		}
@@ -150,7 +150,7 @@
 			this._lastEnd = 0;
 			this._leaseUntilMs = 0;
 			this.announce();
-		}, this._restartMs);
+		}, restartMs);
 	}
 
 	/** Carries out a start whatever its lease and token are, as an order that arrives late at another incarnation. */
--- a/src/dispatch/node/test/memorySystem.ts
+++ b/src/dispatch/node/test/memorySystem.ts
@@ -322,6 +322,12 @@
 		this._agents[index]?.resume();
 	}
 
+	/** Crashes a worker, which restarts under its ID after a while. */
+	crashWorker(index: number, restartMs: number): void {
+		this._troubleLog.info('crashWorker', { worker: index, restartMs });
+		this.workers[index]?.crash(restartMs);
+	}
+
 	/** Pauses what an entry receives from agents; its own timers go on. Connections that are opened later are not paused. */
 	pauseEntry(index: number): void {
 		this.entries[index]?.connections.forEach((link) => {
--- a/src/dispatch/node/test/taskExecutor.test.ts
+++ b/src/dispatch/node/test/taskExecutor.test.ts
@@ -5,6 +5,7 @@
 
 import test, { type ExecutionContext } from 'ava';
 import { monotonicClock, type IClock } from '../../../base/common/clock.js';
+import { serialUnlessKnownRed } from '../../../base/test/knownRed.js';
 import { nullLogService } from '../../../services/log/common/log.js';
 import type {
 	AgentReportMessage,
@@ -374,6 +375,27 @@
 	t.like(harness.ends()[0], { end: 'refused', reason: 'expired' });
 });
 
+// Guards against a report that a run is lost while it is at work, so that its task is started elsewhere meanwhile.
+serialUnlessKnownRed(
+	'runs that a worker has taken since it restarted continue when the agent learns of the restart',
+	async (t) => {
+		const harness = new Harness(t);
+		await harness.makeReady();
+		harness.start(1, 'earlier');
+		await waitUntil(() => harness.worker.running.size === 1);
+		harness.worker.restart(2000);
+		harness.start(1, 'later');
+		await waitUntil(() => harness.state === undefined);
+		await waitUntil(() => harness.ends().length === 1);
+		t.like(harness.ends()[0], { jobId: 'earlier', end: 'lost' });
+		await waitUntil(() => harness.worker.acknowledgedEnd === 0);
+		harness.worker.endRun({ jobId: 'later', taskIndex: 0, run: 1 }, 'done');
+		await waitUntil(() => harness.ends().length === 2);
+		t.like(harness.ends()[1], { jobId: 'later', end: 'done' });
+		t.deepEqual(harness.worker.stops, []);
+	},
+);
+
 test('an order to the earlier life of a worker that restarted under its ID is refused when it is carried out late', async (t) => {
 	const harness = new Harness(t);
 	await harness.makeReady();
