Agents keep the runs that a restarted worker has taken

Callers' tasks ran on two workers at once. When a worker restarts under its ID, its new life takes starts before the agent knows of it, most easily if the agent is late (paused, or short of processor time). On learning of the new birth, the agent reported all its runs as lost, those of the new life among them; entries started these tasks elsewhere, while the next list showed the runs as unknown and they were stopped, for up to a stop's time and more.

The class is a belief about the worker that ends runs without a proof that they have ended. Now the first lists of the new life decide (findRestartEffect): listed runs continue; runs whose start was answered before the poll and that aren't listed are lost; all others are voided by a stop order at the new life before they are reported as lost. The lease of what the new life has taken is assumed to last as long as the worker grants, since it was computed by the earlier clock. Polls after a missing answer acknowledge no ends, because a restarted worker numbers its ends from 1 again. Sending stops moves to a class of its own.

--- a/src/dispatch/common/heldRuns.ts
+++ b/src/dispatch/common/heldRuns.ts
@@ -42,6 +42,8 @@
 	stopConfirmedMs: number | undefined;
 	/** Time at which the worker first listed neither the run nor its end. */
 	missingSinceMs: number | undefined;
+	/** Whether the run ends as lost once it can't begin any more, since the worker has restarted. */
+	isLostWithWorker: boolean;
 }
 
 /**
@@ -60,7 +62,8 @@
 	if (run.phase === 'stopping') {
 		// If the lists are newer than the confirmation, the run never began, or its end was listed earlier.
 		const isConfirmed = run.stopConfirmedMs !== undefined && run.stopConfirmedMs <= sentMs;
-		return isConfirmed ? 'stopped' : undefined;
+		const end = run.isLostWithWorker ? 'lost' : 'stopped';
+		return isConfirmed ? end : undefined;
 	}
 	run.missingSinceMs ??= nowMs;
 	return nowMs - run.missingSinceMs > missingTimeoutMs ? 'lost' : undefined;
@@ -88,6 +91,7 @@
 		progressPercent: 0,
 		stopConfirmedMs: undefined,
 		missingSinceMs: undefined,
+		isLostWithWorker: false,
 	};
 }
 
--- a/src/dispatch/common/workerLease.ts
+++ b/src/dispatch/common/workerLease.ts
@@ -4,6 +4,8 @@
 
 /** Duration of a renewed lease. The worker allows at most 1 s. Runs of a lost agent continue for up to this time. */
 export const leaseDurationMs = 700;
+/** Longest lease that a worker grants. */
+const maxWorkerLeaseMs = 1000;
 /** Age from which on a start is refused; the rest of its lease is left for the first renewal. */
 const maxStartAgeMs = 400;
 /** Margin for the drift of a worker's clock during a lease (2%) and for killing the runs. */
@@ -94,13 +96,14 @@
 	}
 
 	/**
-	 * Discards the clock offset and the lease when the worker changes or restarts, and raises the fencing token. A restarted
-	 * worker may keep its ID, and its clock restarts at 0, so that only the token shows that a late order was for its earlier life.
+	 * Discards the clock offset when the worker changes or restarts, and raises the fencing token. A restarted worker may keep its
+	 * ID, and its clock restarts at 0, so that only the token shows that a late order was for its earlier life. Orders that the new
+	 * life has taken already have a lease by the earlier clock, so that they hold for as long as the worker grants.
 	 */
-	reset(): void {
+	reset(nowMs: number): void {
 		this._fencingToken += 1;
 		this._incarnation += 1;
 		this._clockOffsetMs = undefined;
-		this._expiresAtMs = -Infinity;
+		this._expiresAtMs = nowMs + maxWorkerLeaseMs;
 	}
 }
--- a/src/dispatch/node/taskExecutor.ts
+++ b/src/dispatch/node/taskExecutor.ts
@@ -35,6 +35,7 @@
 	type TaskWorker,
 	type WorkerAnnouncement,
 } from '../common/taskWorker.js';
+import { isListed } from '../common/restartedWorker.js';
 import { findRefusalReason } from '../common/startRefusal.js';
 import { WorkerLease } from '../common/workerLease.js';
 import { EntryReporter } from './entryReporter.js';
@@ -43,7 +44,9 @@
 import type { ExecutorOptions, IExecutorHost } from './executorOptions.js';
 import { LostEntryMonitor } from './lostEntryMonitor.js';
 import { RunOrderSender } from './runOrderSender.js';
+import { RestartResolver } from './restartResolver.js';
 import { RunRecords } from './runRecords.js';
+import { RunStopper } from './runStopper.js';
 
 /** Time since the start after which no run of an earlier incarnation of this agent can remain. */
 const earlierRunsExpiryMs = 1300;
@@ -56,6 +59,8 @@
 	private readonly _reporter: EntryReporter;
 	private readonly _lease: WorkerLease;
 	private readonly _orderSender: RunOrderSender;
+	private readonly _stopper: RunStopper;
+	private readonly _restartResolver: RestartResolver;
 	private readonly _poller: WorkerPoller;
 	private readonly _verifier: AnnouncementVerifier;
 	private readonly _lostEntries = this._register(new LostEntryMonitor());
@@ -100,6 +105,14 @@
 		);
 		this._records = new RunRecords(this._reporter, _options.clock);
 		this._runs = this._records.runs;
+		this._stopper = new RunStopper({
+			orderSender: this._orderSender,
+			createCurrentCheck: this._createCurrentCheck.bind(this),
+			handleOtherWorker: this.handleWorkerReplaced.bind(this),
+			clock: _options.clock,
+			log: _options.log,
+		});
+		this._restartResolver = new RestartResolver(this._records, this._stopper, _options.log);
 		this._poller = this._register(
 			new WorkerPoller(this, { ..._options, taskWorker: _taskWorker, lease: this._lease }),
 		);
@@ -176,7 +189,7 @@
 		const entryKey = `${entryId}/${incarnation}`;
 		for (const run of this._runs.all) {
 			if (run.entryKey !== entryKey && run.entryKey.startsWith(`${entryId}/`)) {
-				this._stopRun(run, 'entryRestarted');
+				this._stopper.stop(run, 'entryRestarted');
 			}
 		}
 		this._lostEntries.handleConnected(entryKey);
@@ -214,7 +227,7 @@
 		for (const task of message.tasks) {
 			const run = this._runs.get(task);
 			if (run !== undefined && run.entryKey === entryKey && isSameStart(run, task)) {
-				this._stopRun(run, 'asked');
+				this._stopper.stop(run, 'asked');
 			}
 		}
 	}
@@ -235,7 +248,7 @@
 			this._options.log.warn('runs.orphaned', { entryKey, runs: orphans.length });
 		}
 		for (const run of orphans) {
-			this._stopRun(run, 'entryLost');
+			this._stopper.stop(run, 'entryLost');
 		}
 	}
 
@@ -279,7 +292,7 @@
 			isCapacityKnown: !this._hasUnknownRuns && this._worker.isCapacityKnown(this._nowMs()),
 		});
 		if (heldRun !== undefined && refusal === 'noRoom') {
-			this._stopRun(heldRun, 'replaced');
+			this._stopper.stop(heldRun, 'replaced');
 		}
 		return refusal;
 	}
@@ -299,7 +312,7 @@
 				if (run.phase === 'starting') {
 					const { jobId, taskIndex } = run;
 					this._options.log.warn('run.startUnanswered', { jobId, taskIndex, message: result.message });
-					this._stopRun(run, 'startUnanswered');
+					this._stopper.stop(run, 'startUnanswered');
 				}
 				return;
 			case 'refused':
@@ -338,32 +351,11 @@
 		}
 	}
 
-	private _stopRun(run: HeldRun, cause: string): void {
-		if (run.phase === 'stopping') {
-			return;
-		}
-		const wasStarting = run.phase === 'starting';
-		run.phase = 'stopping';
-		this._options.log.info('run.stopping', { ...toRunRef(run), cause, wasStarting });
-		this._sendStop(run).catch((error: unknown) => {
-			this._options.log.error('run.stopFailed', { ...toRunRef(run), message: describeError(error) });
-		});
-	}
-
-	private async _sendStop(run: HeldRun): Promise<void> {
-		const result = await this._orderSender.stop(run, this._createCurrentCheck(run));
-		if (result === 'confirmed') {
-			run.stopConfirmedMs = this._nowMs();
-		}
-		if (result === 'otherWorker') {
-			this._forgetWorker('otherWorker');
-		}
-	}
-
-	handleRunLists({ bornAtMs, clockMs, ended, areEndsComplete, running }: RunLists, sentMs: number): void {
+	handleRunLists(lists: RunLists, sentMs: number): void {
+		const { bornAtMs, clockMs, ended, areEndsComplete, running } = lists;
 		if (this._worker.detectRestart(bornAtMs)) {
-			this._forgetWorker('reborn');
-			return;
+			this._forgetWorker('reborn', lists);
+			this._worker.detectRestart(bornAtMs);
 		}
 		if (this._lease.updateClockOffset(clockMs, this._nowMs())) {
 			this._worker.expireCapacity();
@@ -371,6 +363,7 @@
 		for (const end of ended) {
 			this._handleEnd(end);
 		}
+		this._restartResolver.handleLists(lists, sentMs);
 		this._handleRunning(running, sentMs, areEndsComplete);
 	}
 
@@ -397,6 +390,7 @@
 	handleUnansweredPoll(sinceMs: number, isConnectionRefused: boolean): void {
 		if (this._worker.hasLeft) {
 			this._forgetWorker('left');
+			this._records.endAllRuns('lost');
 			return;
 		}
 		if (isConnectionRefused) {
@@ -404,9 +398,12 @@
 		}
 	}
 
-	private _recordCrash(evidence: CrashEvidence, crashedAtMs: number): void {
-		const nowMs = this._nowMs();
-		const crash = this._crashes.record(this._worker, this._runs.all, evidence, crashedAtMs, nowMs);
+	private _recordCrash(
+		evidence: CrashEvidence,
+		crashedAtMs: number,
+		runs: readonly HeldRun[] = this._runs.all,
+	): void {
+		const crash = this._crashes.record(this._worker, runs, evidence, crashedAtMs, this._nowMs());
 		if (crash !== undefined) {
 			this._reporter.reportCrash(crash);
 		}
@@ -445,11 +442,16 @@
 		this._scheduleStateReports();
 	}
 
-	/** Forgets the worker until it announces itself again, and reports its runs as lost. */
-	private _forgetWorker(cause: 'left' | 'otherWorker' | 'reborn'): void {
+	/**
+	 * Forgets the worker until it announces itself again. Its runs are kept until the next lists, since its new life may have taken
+	 * some of them already.
+	 */
+	private _forgetWorker(cause: 'left' | 'otherWorker' | 'reborn', lists?: RunLists): void {
 		const workerId = this._worker.announcement?.workerId;
+		const nowMs = this._nowMs();
 		if (cause !== 'left') {
-			this._recordCrash(cause, this._poller.unansweredSinceMs ?? this._nowMs());
+			const earlierRuns = this._runs.all.filter((run) => lists === undefined || !isListed(run, lists));
+			this._recordCrash(cause, this._poller.unansweredSinceMs ?? nowMs, earlierRuns);
 		}
 		const runs = this._runs.all.map((run) => `${describeRun(run)} ${run.phase}`);
 		const { key: workerKey } = this._worker;
@@ -457,9 +459,9 @@
 		this._worker.discard();
 		this._acknowledgedEnd = 0;
 		this._hasUnknownRuns = false;
-		this._lease.reset();
+		this._restartResolver.handleRestart();
+		this._lease.reset(nowMs);
 		this._records.resetMeasurements();
-		this._records.endAllRuns('lost');
 		this._scheduleStateReports();
 	}
 
--- a/src/dispatch/node/workerPoller.ts
+++ b/src/dispatch/node/workerPoller.ts
@@ -107,10 +107,12 @@
 		const shouldRenew = hasRuns && lease.isClockKnown && this._unansweredPolls < unansweredPollLimit;
 		const leaseUntilMs = shouldRenew ? lease.renew(sentMs) : undefined;
 		const waitMs = hasRuns ? busyPollWaitMs : idlePollWaitMs;
+		// A worker that has not answered may have restarted; its numbers of ends then count from 1 again.
+		const seenEnd = this._unansweredPolls > 0 ? 0 : acknowledgedEnd;
 		const answer = await taskWorker.hold({
 			...this._host.getOrderContext(),
 			leaseUntilMs,
-			acknowledgedEnd,
+			acknowledgedEnd: seenEnd,
 			// The first poll only reads the worker's clock, so the worker does not wait.
 			waitMs: lease.isClockKnown ? waitMs : 0,
 		});
