--- a/src/dispatch/node/test/concurrentRuns.test.ts
+++ b/src/dispatch/node/test/concurrentRuns.test.ts
@@ -1,6 +1,6 @@
 /**
- * Two runs of one task are never at work at the same time, while agents stand still, connections are cut, and entries and agents
- * restart. YUCCAARCH_RUN_SEEDS sets the number of seeds, YUCCAARCH_FIRST_SEED the first one.
+ * Two runs of one task are never at work at the same time, while agents stand still, connections are cut, and entries, agents and
+ * workers restart. YUCCAARCH_RUN_SEEDS sets the number of seeds, YUCCAARCH_FIRST_SEED the first one.
  */
 
 import test, { type ExecutionContext } from 'ava';
@@ -24,7 +24,7 @@
 async function causeTrouble(system: MemorySystem, random: SeededRandom): Promise<void> {
 	const agent = random.integer(0, workerCount - 1);
 	const entry = random.integer(0, entryCount - 1);
-	switch (random.integer(0, 5)) {
+	switch (random.integer(0, 6)) {
 		case 0:
 			system.pauseAgent(agent);
 			await sleep(random.integer(50, 400));
@@ -54,6 +54,12 @@
 			await sleep(random.integer(10, 1500));
 			system.heal();
 			return;
+		case 5:
+			system.pauseAgent(agent);
+			system.crashWorker(agent, random.integer(20, 600));
+			await sleep(random.integer(50, 700));
+			system.resumeAgent(agent);
+			return;
 		default:
 			system.restartEntry(entry);
 	}
