The first announcement of a life that has listed its runs is not another restart

After a restart that the worker's lists had shown, its first announcement counted as yet another restart: the agent raised the fencing token and discarded the worker's clock a second time, and runs that continue were resolved twice.

--- a/src/dispatch/common/knownWorker.ts
+++ b/src/dispatch/common/knownWorker.ts
@@ -11,8 +11,8 @@
 const capacityTtlMs = 4000;
 
 /**
- * Classification of an announcement. `late`: older than the known one, and ignored. `renewed`: from the known worker.
- * `newLife`: from another worker, or from the known one after a restart.
+ * Classification of an announcement. `late`: older than the known one, and ignored. `renewed`: from the known worker, or from the
+ * life of it that has listed its runs already. `newLife`: from another worker, or from the known one after a restart.
  */
 export type AnnouncementStatus = 'late' | 'renewed' | 'newLife';
 
@@ -73,9 +73,11 @@
 		if (isEarlierIncarnation(announcement.bornAtMs, this._bornAtMs)) {
 			return 'late';
 		}
-		const isFirst =
-			known === undefined && this._incarnation === 0 && !this._isOtherIncarnation(announcement.bornAtMs);
-		return isFirst ? 'renewed' : 'newLife';
+		if (known !== undefined || this._isOtherIncarnation(announcement.bornAtMs)) {
+			return 'newLife';
+		}
+		const isListedLife = announcement.bornAtMs !== undefined && announcement.bornAtMs === this._bornAtMs;
+		return this._incarnation === 0 || isListedLife ? 'renewed' : 'newLife';
 	}
 
 	/** Replaces the known announcement. */
--- a/src/dispatch/common/test/knownWorker.test.ts
+++ b/src/dispatch/common/test/knownWorker.test.ts
@@ -32,3 +32,14 @@
 	t.deepEqual(classified, ['late', 'late', 'renewed']);
 	t.true(worker.isReady(4500), 'the worker is ready until then');
 });
+
+test('the first announcement of a life that has listed its runs already is not from yet another life', (t) => {
+	const worker = new KnownWorker();
+	worker.setAnnouncement(createAnnouncement(5), 0);
+	t.true(worker.detectRestart(2000));
+	worker.discard();
+	t.false(worker.detectRestart(2000));
+	t.is(worker.classifyAnnouncement({ ...createAnnouncement(1), bornAtMs: 2000 }, 100), 'renewed');
+	t.is(worker.classifyAnnouncement({ ...createAnnouncement(1), bornAtMs: 3000 }, 100), 'newLife');
+	t.is(worker.classifyAnnouncement({ ...createAnnouncement(1), bornAtMs: undefined }, 100), 'newLife');
+});
