--- a/src/dispatch/node/dispatcher.ts
+++ b/src/dispatch/node/dispatcher.ts
@@ -15,7 +15,7 @@
 } from '../common/dispatchMessages.js';
 import type { JobOutcome, JobRequest, JobState } from '../common/jobs.js';
 import { JobTimeHistogram } from './jobTimeHistogram.js';
-import { reconnectGraceMs } from './lostEntryMonitor.js';
+import { getLatestStopMs } from './lostEntryMonitor.js';
 
 /** Interval at which deadlines and workers are checked while jobs are held. */
 const scheduleIntervalMs = 15;
@@ -26,7 +26,6 @@
 export interface DispatcherOptions {
 	/** Time without received data after which either end closes a connection. */
 	readonly silenceTimeoutMs: number;
-	readonly heartbeatIntervalMs: number;
 	/** Returns the number of other entries that place tasks on the same workers. */
 	readonly countOtherEntries: () => number;
 	/** Sends a message to every other entry. */
@@ -45,10 +44,7 @@
 
 	constructor(private readonly _options: DispatcherOptions) {
 		super();
-		const { silenceTimeoutMs, heartbeatIntervalMs } = _options;
-		// The agent detects the loss after its silence timeout at the latest, waits for the entry to reconnect, and then
-		// stops the runs.
-		const orphanLifetimeMs = silenceTimeoutMs + heartbeatIntervalMs + reconnectGraceMs + stopDurationMs;
+		const orphanLifetimeMs = getLatestStopMs(_options.silenceTimeoutMs) + stopDurationMs;
 		this._core = new DispatchCore(this, { orphanLifetimeMs }, this._nowMs());
 		const timer = setInterval(() => {
 			if (this._core.jobCount > 0) {
--- a/src/dispatch/node/taskExecutor.ts
+++ b/src/dispatch/node/taskExecutor.ts
@@ -198,11 +198,15 @@
 		this._reporter.addConnection(connectionId, entryKey, missedEnds, this._crashes.getAll(nowMs));
 	}
 
-	/** Handles the loss of a connection to an entry. */
-	handleEntryLost(connectionId: number): void {
+	/**
+	 * Handles the loss of a connection to an entry.
+	 *
+	 * @param silenceMs time since the last byte from the entry
+	 */
+	handleEntryLost(connectionId: number, silenceMs: number): void {
 		const entryKey = this._reporter.removeConnection(connectionId);
 		if (entryKey !== undefined) {
-			this._lostEntries.handleLost(entryKey);
+			this._lostEntries.handleLost(entryKey, silenceMs);
 		}
 	}
 
--- a/src/dispatch/node/test/memorySystem.ts
+++ b/src/dispatch/node/test/memorySystem.ts
@@ -17,7 +17,8 @@
 const waitTimeoutMs = 20_000;
 const announcementIntervalMs = 300;
 const silenceTimeoutMs = 200;
-const heartbeatIntervalMs = 100;
+/** Time by which an agent may notice a silence late. */
+const detectionDelayMs = 100;
 
 /** One end of a connection in memory; messages are copied, as a codec would. */
 class MemoryConnection implements IConnection {
@@ -27,16 +28,22 @@
 	readonly onDidClose = this._onDidClose.event;
 	isOpen = true;
 	other: MemoryConnection | undefined;
+	private _lastReceivedMs = performance.now();
 	/** Events that this end has not handled yet, since its process is paused; `undefined` while it runs. */
 	private _pending: (() => void)[] | undefined;
 
 	constructor(readonly peer: PeerIdentity) {}
 
+	get silenceMs(): number {
+		return performance.now() - this._lastReceivedMs;
+	}
+
 	send(message: Message): boolean {
 		const copy = structuredClone(message);
 		setImmediate(() => {
 			this.other?._handle(() => {
 				if (this.other?.isOpen === true) {
+					this.other._lastReceivedMs = performance.now();
 					this.other._onDidReceive.fire(copy);
 				}
 			});
@@ -105,7 +112,6 @@
 		this.identity = { role: 'entry', processId: name, incarnation: `life-${life}` };
 		this.dispatcher = new Dispatcher({
 			silenceTimeoutMs,
-			heartbeatIntervalMs,
 			countOtherEntries,
 			broadcastToEntries: (message) => {
 				for (const peer of this.peers) {
@@ -165,7 +171,7 @@
 		});
 		connection.onDidClose(() => {
 			this.links.delete(linkId);
-			this.executor.handleEntryLost(linkId);
+			this.executor.handleEntryLost(linkId, connection.silenceMs);
 		});
 		this.executor.handleEntryConnected(linkId, connection.peer.processId, connection.peer.incarnation);
 	}
@@ -379,7 +385,7 @@
 			link.pause();
 		});
 		this.cut(entryIndex, agentIndex);
-		await new Promise((resolve) => setTimeout(resolve, silenceTimeoutMs + heartbeatIntervalMs));
+		await new Promise((resolve) => setTimeout(resolve, silenceTimeoutMs + detectionDelayMs));
 		links.forEach((link) => {
 			link.resume();
 		});
--- a/src/dispatch/node/test/taskExecutor.test.ts
+++ b/src/dispatch/node/test/taskExecutor.test.ts
@@ -149,13 +149,13 @@
 	await harness.makeReady();
 	harness.start(1, 'job');
 	await waitUntil(() => harness.worker.running.size === 1);
-	harness.executor.handleEntryLost(1);
+	harness.executor.handleEntryLost(1, 0);
 	harness.executor.handleEntryConnected(2, 'entry-1', 'life-1');
 	await new Promise((resolve) => setTimeout(resolve, reconnectGraceMs + 100));
 	t.is(harness.worker.running.size, 1);
 	await waitUntil(() => harness.reports.some(({ report }) => report.heldRuns?.length === 1));
 	const lostAtMs = performance.now();
-	harness.executor.handleEntryLost(2);
+	harness.executor.handleEntryLost(2, 0);
 	await waitUntil(() => harness.worker.running.size === 0);
 	t.true(performance.now() - lostAtMs >= reconnectGraceMs - 5);
 });
@@ -175,7 +175,7 @@
 	await harness.makeReady();
 	harness.start(1, 'job');
 	await waitUntil(() => harness.worker.running.size === 1);
-	harness.executor.handleEntryLost(1);
+	harness.executor.handleEntryLost(1, 0);
 	harness.worker.endRun({ jobId: 'job', taskIndex: 0, run: 1 }, 'done');
 	await waitUntil(() => harness.worker.acknowledgedEnd === 1);
 	harness.executor.handleEntryConnected(2, 'entry-1', 'life-1');
@@ -648,7 +648,7 @@
 	await waitUntil(() => harness.worker.running.size === 1);
 	const task = { jobId: 'job', taskIndex: 0, run: 1 };
 	harness.executor.handleStopTasks(1, { kind: 'stopTasks', tasks: [{ ...task, startId: 4 }] });
-	harness.executor.handleEntryLost(1);
+	harness.executor.handleEntryLost(1, 0);
 	harness.executor.handleEntryConnected(2, 'entry-1', 'life-1');
 	await waitUntil(() => harness.reports.some(({ report }) => report.heldRuns?.length === 1));
 	const [report] = harness.reports.filter(({ connectionId }) => connectionId === 2);
--- a/src/services/transport/common/transport.ts
+++ b/src/services/transport/common/transport.ts
@@ -54,6 +54,8 @@
 	/** Fires once, with the reason, when the connection is closed. Unanswered messages may or may not have arrived. */
 	readonly onDidClose: Event<string>;
 	readonly isOpen: boolean;
+	/** Time since the last byte was received from the peer, also after the connection has closed. */
+	readonly silenceMs: number;
 	/** Queues a message; returns false when the connection is closed and the message was certainly not sent. */
 	send(message: Message): boolean;
 	/** Closes the connection after the queued messages have been handed to the network. */
--- a/src/services/transport/node/frameConnection.ts
+++ b/src/services/transport/node/frameConnection.ts
@@ -51,6 +51,7 @@
 	private _isOpen = false;
 	private _isClosed = false;
 	private _isCorked = false;
+	private _silenceTimer: NodeJS.Timeout | undefined;
 	private _lastReceivedMs = performance.now();
 	private _lastSentMs = performance.now();
 
@@ -88,6 +89,10 @@
 		return this._isOpen && !this._isClosed;
 	}
 
+	get silenceMs(): number {
+		return performance.now() - this._lastReceivedMs;
+	}
+
 	send(message: Message): boolean {
 		if (!this.isOpen) {
 			return false;
@@ -122,6 +127,7 @@
 		this._register(
 			toDisposable(() => {
 				clearTimeout(handshakeTimer);
+				clearTimeout(this._silenceTimer);
 			}),
 		);
 	}
@@ -130,24 +136,44 @@
 		if (!this.isOpen) {
 			return;
 		}
-		const nowMs = performance.now();
-		const { heartbeatIntervalMs, silenceTimeoutMs } = this._options.limits;
-		// After a pause of this process, data that has already arrived must be read before the peer counts as silent.
-		if (nowMs - this._lastReceivedMs > silenceTimeoutMs) {
-			setImmediate(() => {
-				this._closeIfSilent();
-			});
-		}
-		if (nowMs - this._lastSentMs >= heartbeatIntervalMs * 0.9) {
+		this._watchSilence();
+		if (performance.now() - this._lastSentMs >= this._options.limits.heartbeatIntervalMs * 0.9) {
 			this._write(pingFrame);
 		}
 	}
 
+	/**
+	 * Starts a timer for the end of the silence timeout if it comes before the next check, so that the timeout is exact while
+	 * connections with regular heartbeats need no timers of their own.
+	 */
+	private _watchSilence(): void {
+		const { heartbeatIntervalMs, silenceTimeoutMs } = this._options.limits;
+		const remainingMs = silenceTimeoutMs - this.silenceMs;
+		if (this._silenceTimer !== undefined || remainingMs > heartbeatIntervalMs) {
+			return;
+		}
+		this._silenceTimer = setTimeout(
+			() => {
+				// After a pause of this process, data that has already arrived must be read before the peer counts as silent.
+				setImmediate(() => {
+					this._silenceTimer = undefined;
+					this._closeIfSilent();
+				});
+			},
+			Math.max(0, Math.ceil(remainingMs)),
+		);
+	}
+
 	private _closeIfSilent(): void {
-		const silenceMs = performance.now() - this._lastReceivedMs;
-		if (silenceMs > this._options.limits.silenceTimeoutMs) {
-			this._close(`The peer was silent for ${Math.round(silenceMs)} ms.`);
+		if (!this.isOpen) {
+			return;
+		}
+		const { silenceMs } = this;
+		if (silenceMs < this._options.limits.silenceTimeoutMs) {
+			this._watchSilence();
+			return;
 		}
+		this._close(`The peer was silent for ${Math.round(silenceMs)} ms.`);
 	}
 
 	private _write(message: Message | HelloFrame): boolean {
--- a/src/services/transport/test/frameConnection.test.ts
+++ b/src/services/transport/test/frameConnection.test.ts
@@ -190,3 +190,34 @@
 	t.deepEqual(received, ['agent-2']);
 	store.dispose();
 });
+
+// Guards against a timeout that is only noticed at the next heartbeat.
+test('a silent peer counts as lost when the silence timeout ends, not at the next heartbeat', async (t) => {
+	const store = new DisposableStore();
+	const heartbeatIntervalMs = 3000;
+	const silenceTimeoutMs = 3200;
+	const silent = createOptions('entry', 'entry-1');
+	const listener = store.add(
+		await FrameListener.listen('127.0.0.1:0', {
+			...silent,
+			limits: { ...silent.limits, heartbeatIntervalMs: 3_600_000, silenceTimeoutMs: 3_600_000 },
+		}),
+	);
+	const watching = createOptions('agent', 'agent-1');
+	const connector = store.add(
+		new FrameConnector(listener.address, {
+			...watching,
+			limits: { ...watching.limits, heartbeatIntervalMs, silenceTimeoutMs },
+		}),
+	);
+	const silenceMs = new Deferred<number>();
+	connector.onDidConnect((connection) => {
+		connection.onDidClose(() => {
+			silenceMs.resolve(connection.silenceMs);
+		});
+	});
+	const measuredMs = await silenceMs.promise;
+	t.true(measuredMs >= silenceTimeoutMs, `closed after a silence of ${measuredMs} ms`);
+	t.true(measuredMs < silenceTimeoutMs + heartbeatIntervalMs / 2, `closed after ${measuredMs} ms`);
+	store.dispose();
+});
