Entries pass the cancellings they remember on over new connections

Cause: a cancelling was sent once, over the connections that seemed open, and nobody remembered it.

What follows on that connection arrives in order or the connection is replaced, so that no acknowledgements are needed. Ruled out: a late or lost stop, as the entry that held the job wasn't told.

--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -17,6 +17,7 @@
 import { describeRun, isSameStart, type AgentReportMessage, type TaskStartRef } from './dispatchMessages.js';
 import { createCounters, type IDispatchHost } from './dispatchHost.js';
 import { defaultRetryAfterMs, JobAdmission } from './jobAdmission.js';
+import { CancelledJobs, type CancelledJob } from './cancelledJobs.js';
 import { CrashHistory } from './crashHistory.js';
 import { CrashResponse } from './crashResponse.js';
 import { compareHeldRuns } from './heldRunComparison.js';
@@ -54,6 +55,8 @@
 	readonly counters = createCounters();
 	/** Crashes that agents and other entries have reported. */
 	readonly crashes = new CrashHistory();
+	/** Jobs whose cancelling was asked for at this entry or another one. */
+	readonly cancelledJobs = new CancelledJobs();
 	private readonly _agents = new AgentTable();
 	private readonly _admission: JobAdmission;
 	private readonly _placer: TaskPlacer;
@@ -169,6 +172,9 @@
 
 	/** Ends a job as abandoned and stops its runs. Returns whether the job was known and had not ended. */
 	cancel(jobId: string, cause: 'callerGone' | 'asked', nowMs: number): boolean {
+		if (cause === 'asked') {
+			this.cancelledJobs.add({ jobId, agoMs: 0 }, nowMs);
+		}
 		const job = this._jobs.get(jobId);
 		if (job === undefined) {
 			return false;
@@ -243,6 +249,15 @@
 		return this._waitingJobs.size > 0;
 	}
 
+	/** Handles cancellings that another entry remembers. */
+	handleCancelledJobs(jobs: readonly CancelledJob[], nowMs: number): void {
+		for (const cancelled of jobs) {
+			if (this.cancelledJobs.add(cancelled, nowMs)) {
+				this.cancel(cancelled.jobId, 'asked', nowMs);
+			}
+		}
+	}
+
 	/** Handles crashes that another entry remembers. */
 	handleCrashes(crashes: readonly WorkerCrash[], nowMs: number): void {
 		this._crashResponse.handleCrashes(crashes, nowMs);
--- a/src/dispatch/common/dispatchMessageChecks.ts
+++ b/src/dispatch/common/dispatchMessageChecks.ts
@@ -4,9 +4,11 @@
  */
 
 import type { Message } from '../../services/transport/common/transport.js';
+import type { CancelledJob } from './cancelledJobs.js';
 import type {
 	AgentReportMessage,
 	CancelJobMessage,
+	CancelledJobsMessage,
 	JobStart,
 	StartTasksMessage,
 	StopTasksMessage,
@@ -86,12 +88,26 @@
 	return kind === 'cancelJob' && typeof jobId === 'string';
 }
 
+/** Returns whether a message is a readable list of cancellings. */
+export function isCancelledJobs(message: Message): message is CancelledJobsMessage {
+	const { kind, jobs } = message as Unchecked<CancelledJobsMessage>;
+	return kind === 'cancelledJobs' && isArrayOf(jobs, isCancelledJob);
+}
+
 /** Returns whether a message is a readable list of crashes. */
 export function isWorkerCrashes(message: Message): message is WorkerCrashesMessage {
 	const { kind, crashes } = message as Unchecked<WorkerCrashesMessage>;
 	return kind === 'workerCrashes' && isArrayOf(crashes, isWorkerCrash);
 }
 
+function isCancelledJob(value: unknown): value is CancelledJob {
+	if (!isObject(value)) {
+		return false;
+	}
+	const { jobId, agoMs } = value as Unchecked<CancelledJob>;
+	return typeof jobId === 'string' && isNumber(agoMs) && agoMs >= 0;
+}
+
 function isWorkerCrash(value: unknown): value is WorkerCrash {
 	if (!isObject(value)) {
 		return false;
--- a/src/dispatch/common/dispatchMessages.ts
+++ b/src/dispatch/common/dispatchMessages.ts
@@ -1,6 +1,7 @@
 /** Messages between the entry that holds a job and the agents that run its tasks, and between entries. */
 
 import type { Message } from '../../services/transport/common/transport.js';
+import type { CancelledJob } from './cancelledJobs.js';
 import type { WorkerCrash } from './workerCrash.js';
 
 /** Resources that a task uses at a worker while it runs. */
@@ -148,6 +149,12 @@
 	readonly jobId: string;
 }
 
+/** Tells another entry the cancellings that this one remembers, when it connects; those that follow are sent one by one. */
+export interface CancelledJobsMessage extends Message {
+	readonly kind: 'cancelledJobs';
+	readonly jobs: readonly CancelledJob[];
+}
+
 /** Tells another entry the crashes that this one remembers, when it connects. */
 export interface WorkerCrashesMessage extends Message {
 	readonly kind: 'workerCrashes';
--- a/src/dispatch/node/dispatcher.ts
+++ b/src/dispatch/node/dispatcher.ts
@@ -5,10 +5,17 @@
 import type { ILogService, LogFields } from '../../services/log/common/log.js';
 import type { IConnection, Message } from '../../services/transport/common/transport.js';
 import { DispatchCore } from '../common/dispatchCore.js';
-import { isAgentReport, isCancelJob, isWorkerCrashes, readMessage } from '../common/dispatchMessageChecks.js';
+import {
+	isAgentReport,
+	isCancelJob,
+	isCancelledJobs,
+	isWorkerCrashes,
+	readMessage,
+} from '../common/dispatchMessageChecks.js';
 import type { IDispatchHost } from '../common/dispatchHost.js';
 import type {
 	CancelJobMessage,
+	CancelledJobsMessage,
 	StartTasksMessage,
 	StopTasksMessage,
 	WorkerCrashesMessage,
@@ -126,6 +133,9 @@
 				if (message.kind === 'cancelJob') {
 					this._core.cancel(readMessage(message, isCancelJob).jobId, 'asked', this._nowMs());
 				}
+				if (message.kind === 'cancelledJobs') {
+					this._core.handleCancelledJobs(readMessage(message, isCancelledJobs).jobs, this._nowMs());
+				}
 				if (message.kind === 'workerCrashes') {
 					this._core.handleCrashes(readMessage(message, isWorkerCrashes).crashes, this._nowMs());
 				}
@@ -153,14 +163,23 @@
 		});
 	}
 
-	/** Sends the remembered crashes to an entry that has just connected, since it may have been restarted or cut off. */
-	sendCrashes(connection: IConnection): void {
-		const message: WorkerCrashesMessage = {
+	/**
+	 * Sends the remembered cancellings and crashes over a new connection to an entry. It may have been restarted or cut off, and
+	 * what was sent over an earlier connection may have been lost.
+	 */
+	sendRemembered(connection: IConnection): void {
+		const nowMs = this._nowMs();
+		const cancelledJobs: CancelledJobsMessage = {
+			kind: 'cancelledJobs',
+			jobs: this._core.cancelledJobs.getAll(nowMs),
+		};
+		connection.send(cancelledJobs);
+		const workerCrashes: WorkerCrashesMessage = {
 			kind: 'workerCrashes',
-			crashes: this._core.crashes.getAll(this._nowMs()),
+			crashes: this._core.crashes.getAll(nowMs),
 		};
-		if (message.crashes.length > 0) {
-			connection.send(message);
+		if (workerCrashes.crashes.length > 0) {
+			connection.send(workerCrashes);
 		}
 	}
 
--- a/src/dispatch/node/test/malformedMessages.test.ts
+++ b/src/dispatch/node/test/malformedMessages.test.ts
@@ -12,6 +12,7 @@
 import {
 	isAgentReport,
 	isCancelJob,
+	isCancelledJobs,
 	isStartTasks,
 	isStopTasks,
 	isWorkerCrashes,
@@ -19,6 +20,7 @@
 } from '../../common/dispatchMessageChecks.js';
 import type {
 	AgentReportMessage,
+	CancelledJobsMessage,
 	StartTasksMessage,
 	StopTasksMessage,
 	WorkerCrashesMessage,
@@ -142,6 +144,31 @@
 	t.true(refusedCount > 0);
 });
 
+test('an entry refuses changed lists of cancellings or goes on with them', (t) => {
+	let refusedCount = 0;
+	const list: CancelledJobsMessage = { kind: 'cancelledJobs', jobs: [{ jobId: 'job', agoMs: 5 }] };
+	fc.assert(
+		fc.property(fc.array(mutate(list), { minLength: 1, maxLength: 3 }), (messages) => {
+			const core = new DispatchCore(
+				{ send: () => undefined, log: () => undefined, entryCount: () => 2, random: () => 0.5 },
+				{ orphanLifetimeMs: 1500 },
+				0,
+			);
+			for (const [index, message] of messages.entries()) {
+				if (!isCancelledJobs(message)) {
+					t.true(isRefused(() => readMessage(message, isCancelledJobs)));
+					refusedCount += 1;
+					continue;
+				}
+				core.handleCancelledJobs(message.jobs, index * 100);
+				core.schedule(index * 100);
+			}
+		}),
+		{ seed, numRuns: runCount },
+	);
+	t.true(refusedCount > 0);
+});
+
 test('an entry refuses changed reports or goes on with them', (t) => {
 	let refusedCount = 0;
 	fc.assert(
--- a/src/dispatch/node/test/memorySystem.ts
+++ b/src/dispatch/node/test/memorySystem.ts
@@ -207,6 +207,7 @@
 	readonly entries: MemoryEntry[] = [];
 	private readonly _agents: MemoryAgent[] = [];
 	private readonly _cutPairs = new Set<string>();
+	private readonly _cutEntryPairs = new Set<string>();
 	private _lives = 1;
 	private readonly _troubleLog = this.log.createLogService('test');
 
@@ -385,10 +386,41 @@
 		});
 	}
 
+	/** Closes the connections between two entries. One of them may take its ends for open until it notices. */
+	cutEntries(entryIndex: number, otherIndex: number, unnoticedBy?: number): void {
+		this._troubleLog.info('cutEntries', { entries: `${entryIndex} ${otherIndex}`, unnoticedBy });
+		this._cutEntryPairs.add(`${entryIndex}-${otherIndex}`).add(`${otherIndex}-${entryIndex}`);
+		for (const [from, to] of [
+			[entryIndex, otherIndex],
+			[otherIndex, entryIndex],
+		] as const) {
+			const toId = this.entries[to]?.identity.processId;
+			for (const link of [...(this.entries[from]?.peers ?? [])].filter(
+				({ peer }) => peer.processId === toId,
+			)) {
+				const unnoticedEnd = unnoticedBy === from ? link : link.other;
+				if (unnoticedBy !== undefined) {
+					unnoticedEnd?.pause();
+				}
+				unnoticedEnd?.other?.close();
+			}
+		}
+	}
+
+	/** Lets an entry notice which of its connections with other entries are closed. */
+	noticeClosedPeers(index: number): void {
+		for (const entry of this.entries) {
+			for (const link of entry.peers) {
+				(entry === this.entries[index] ? link : link.other)?.resume();
+			}
+		}
+	}
+
 	/** Ends all cuts. */
 	heal(): void {
 		this._troubleLog.info('heal', {});
 		this._cutPairs.clear();
+		this._cutEntryPairs.clear();
 		this._connectAll();
 	}
 
@@ -427,8 +459,10 @@
 					agent.accept(toEntry);
 				}
 			}
-			for (const other of this.entries) {
-				this._connectEntries(entry, other);
+			for (const [otherIndex, other] of this.entries.entries()) {
+				if (!this._cutEntryPairs.has(`${entryIndex}-${otherIndex}`)) {
+					this._connectEntries(entry, other);
+				}
 			}
 		}
 	}
@@ -446,7 +480,7 @@
 		const [toOther, toEntry] = connectInMemory(entry.identity, other.identity);
 		entry.peers.add(toOther);
 		other.dispatcher.accept(toEntry);
-		entry.dispatcher.sendCrashes(toOther);
+		entry.dispatcher.sendRemembered(toOther);
 	}
 }
 
