Cancelled jobs get a final answer and don't run when they come again

Cause: a cancelled job ended as abandoned, and the outcome kept for 10 s was not heeded.

A copy at any entry that has heard of the cancelling gets the same for 60 s. A job whose caller has only left is served again as before, and a job that was done keeps its outcome.

--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -137,7 +137,7 @@
 			return job.state;
 		}
 		const ended = this._jobs.getOutcome(jobId)?.kind;
-		return ended === 'completed' || ended === 'failed' ? ended : undefined;
+		return ended === 'rejected' || ended === 'abandoned' ? undefined : ended;
 	}
 
 	/**
@@ -152,6 +152,11 @@
 			listener(outcome);
 			return () => undefined;
 		}
+		if (this.cancelledJobs.has(jobId, nowMs)) {
+			this._jobs.refuseAsCancelled(request);
+			listener({ kind: 'cancelled' });
+			return () => undefined;
+		}
 		const outcomeOfRepeated = this._crashResponse.findOutcomeOfRepeated(request);
 		if (outcomeOfRepeated !== undefined) {
 			listener(outcomeOfRepeated);
@@ -170,7 +175,7 @@
 		};
 	}
 
-	/** Ends a job as abandoned and stops its runs. Returns whether the job was known and had not ended. */
+	/** Ends a job and stops its runs. Returns whether the job was known and had not ended. */
 	cancel(jobId: string, cause: 'callerGone' | 'asked', nowMs: number): boolean {
 		if (cause === 'asked') {
 			this.cancelledJobs.add({ jobId, agoMs: 0 }, nowMs);
--- a/src/dispatch/common/jobRegistry.ts
+++ b/src/dispatch/common/jobRegistry.ts
@@ -96,6 +96,11 @@
 		host.log('warn', 'job.refusedAsCrashing', { jobId, route, decision });
 	}
 
+	/** Logs a job that has come again, or for the first time here, after its cancelling was asked for. */
+	refuseAsCancelled({ jobId, route }: JobRequest): void {
+		this._services.host.log('info', 'job.refusedAsCancelled', { jobId, route });
+	}
+
 	/** Ends a job of which a task may have run, and stops its runs. */
 	abandon(job: JobRow, cause: AbandonmentCause, nowMs: number): void {
 		const { host, counters } = this._services;
@@ -115,7 +120,7 @@
 		counters.cancelled += 1;
 		const waitedMs = Math.round(nowMs - job.arrivedMs);
 		host.log('info', 'job.cancelled', { jobId: job.request.jobId, cause, waitedMs, trace: job.trace });
-		this._end(job, { kind: 'abandoned' }, nowMs);
+		this._end(job, { kind: cause === 'asked' ? 'cancelled' : 'abandoned' }, nowMs);
 	}
 
 	/** Ends a job that can't be served: rejects it if no task has run for any of its requests, and abandons it otherwise. */
--- a/src/dispatch/common/jobs.ts
+++ b/src/dispatch/common/jobs.ts
@@ -45,8 +45,10 @@
 	/** A task has failed as often as the route allows. */
 	| { readonly kind: 'failed' }
 	| { readonly kind: 'rejected'; readonly reason: RejectionReason; readonly retryAfterMs: number }
-	/** Ended without a result after a task may have run, or cancelled. */
+	/** Its cancelling was asked for. Final: the job is not started again, whether a task has run or not. */
+	| { readonly kind: 'cancelled' }
+	/** Ended without a result after a task may have run, or because its callers have left. */
 	| { readonly kind: 'abandoned' };
 
 /** State of a job that has neither been rejected nor abandoned. */
-export type JobState = 'queued' | 'running' | 'completed' | 'failed';
+export type JobState = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
--- a/src/dispatch/common/test/dispatchCore.test.ts
+++ b/src/dispatch/common/test/dispatchCore.test.ts
@@ -569,6 +569,62 @@
 	t.deepEqual(harness.outcomes.slice(1), [{ kind: 'abandoned' }]);
 });
 
+// Guards against a cancelled job that runs when its request comes again.
+test('a cancelled job is answered as cancelled, then and when it comes again, and is not started again', (t) => {
+	const harness = createHarnessWithTwoAgents();
+	harness.submit();
+	const [first] = findStartedConnections(t, harness);
+	harness.core.cancel('job-1', 'asked', harness.nowMs);
+	t.is(harness.getStoppedRuns(first).length, 1);
+	t.is(harness.core.getJobState('job-1'), 'cancelled');
+	harness.reportEnd(first, { jobId: 'job-1', taskIndex: 0, run: 1, end: 'stopped' });
+	harness.advance(30_000);
+	harness.submit();
+	t.deepEqual(harness.outcomes, [{ kind: 'cancelled' }, { kind: 'cancelled' }]);
+	t.is(harness.getStartedRuns(1).length + harness.getStartedRuns(2).length, 1);
+});
+
+test('a job that was cancelled at another entry is not started, whether it was waiting or comes later', (t) => {
+	const harness = new Harness();
+	harness.connect(1, 'agent-1');
+	harness.report(1, {}, full);
+	harness.submit();
+	harness.core.handleCancelledJobs(
+		[
+			{ jobId: 'job-1', agoMs: 3000 },
+			{ jobId: 'job-2', agoMs: 100 },
+		],
+		harness.nowMs,
+	);
+	harness.report(1);
+	harness.submit({ jobId: 'job-2' });
+	t.deepEqual(harness.outcomes, [{ kind: 'cancelled' }, { kind: 'cancelled' }]);
+	t.deepEqual(harness.getStartedRuns(1), []);
+	t.is(harness.core.getJobState('job-2'), undefined);
+});
+
+test('a job that is done keeps its outcome when it is cancelled afterwards', (t) => {
+	const harness = createHarnessWithTwoAgents();
+	harness.submit();
+	const [first] = findStartedConnections(t, harness);
+	harness.reportEnd(first, { jobId: 'job-1', taskIndex: 0, run: 1, end: 'done' });
+	harness.core.cancel('job-1', 'asked', harness.nowMs);
+	harness.submit();
+	t.deepEqual(harness.outcomes, [{ kind: 'completed' }, { kind: 'completed' }]);
+	t.is(harness.core.getJobState('job-1'), 'completed');
+});
+
+test('a job that comes again after its caller has left runs', (t) => {
+	const harness = createHarnessWithTwoAgents();
+	const disconnectCaller = harness.submit();
+	const [first] = findStartedConnections(t, harness);
+	disconnectCaller();
+	harness.reportEnd(first, { jobId: 'job-1', taskIndex: 0, run: 1, end: 'stopped' });
+	harness.submit();
+	t.is(harness.getStartedRuns(1).length + harness.getStartedRuns(2).length, 2);
+	t.deepEqual(harness.outcomes, []);
+});
+
 test('a job that comes again after it was rejected is rejected again, since none of its tasks has run', (t) => {
 	const harness = new Harness();
 	harness.connect(1, 'agent-1');
