Agents refuse a start only once the task's earlier run has ended

Callers' tasks could run on two workers at once. A start of a task of which the agent still held an earlier run (for the same entry after the job had come again, or for another entry) was refused at once, with a stop of the held run in some cases. The entry took the refusal as leave to start the task elsewhere, while the held run was still being stopped: 50 ms, and longer with retries, or for as long as it ran where no stop was sent (olderRun, notAccepting, expired).

The class is a task that is freed by a refusal without a proof that its last run has ended. Now a refusal waits until no run of the task is held. Whatever ends the held run releases it: the worker's list, a confirmed stop, the lapse of the lease or a restart of the worker. Starts whose refusal waits are listed as held in the first report on a connection, so that the entry neither takes them as missing nor starts them elsewhere.

--- a/src/dispatch/common/dispatchMessages.ts
+++ b/src/dispatch/common/dispatchMessages.ts
@@ -138,7 +138,10 @@
 	readonly ends: readonly TaskEndReport[];
 	/** Crashes of the worker since the last report; in the first report on a connection, all that are remembered. */
 	readonly crashes?: readonly WorkerCrash[] | undefined;
-	/** All runs that the agent holds for the entry; set in the first report on a connection. */
+	/**
+	 * All runs that the agent holds for the entry, and the starts that it refuses once an earlier run has ended; set in the first
+	 * report on a connection.
+	 */
 	readonly heldRuns?: readonly TaskStartRef[] | undefined;
 }
 
--- a/src/dispatch/node/runRecords.ts
+++ b/src/dispatch/node/runRecords.ts
@@ -1,7 +1,14 @@
 /** Keeps the runs of an agent and the measurements that they yield, and reports their ends to entries. */
 
 import type { IClock } from '../../base/common/clock.js';
-import { toStartRef, getTaskKey, type RunEnd, type TaskEndReport } from '../common/dispatchMessages.js';
+import {
+	toStartRef,
+	getTaskKey,
+	type RefusalReason,
+	type RunEnd,
+	type TaskEndReport,
+	type TaskStartRef,
+} from '../common/dispatchMessages.js';
 import { EndCounts } from '../common/endCounts.js';
 import { HeldRuns, resolveMissingRun, type HeldRun } from '../common/heldRuns.js';
 import { PaceMeter } from '../common/paceMeter.js';
@@ -13,6 +20,13 @@
 	scheduleStateReports(): void;
 }
 
+/** A refused start of which the entry is told once the task's held run has ended. */
+interface DeferredRefusal {
+	readonly entryKey: string;
+	readonly start: TaskStartRef;
+	readonly reason: RefusalReason;
+}
+
 /**
  * Records starts, progress and ends of runs.
  *
@@ -24,6 +38,8 @@
 	readonly runs = new HeldRuns();
 	readonly paceMeter = new PaceMeter();
 	readonly endCounts = new EndCounts();
+	/** Refusals that wait for the end of a held run, by task. */
+	private readonly _deferredRefusals = new Map<string, DeferredRefusal[]>();
 
 	constructor(
 		private readonly _reporter: IRunReporter,
@@ -102,6 +118,41 @@
 	private _handleRemoved(run: HeldRun): void {
 		this.paceMeter.removeTask(getTaskKey(run));
 		this._reporter.scheduleStateReports();
+		if (this.runs.get(run) === undefined) {
+			this._reportDeferredRefusals(getTaskKey(run));
+		}
+	}
+
+	/**
+	 * Reports that a start is refused, but not before the held run of its task has ended: the entry may then start the task
+	 * elsewhere.
+	 */
+	reportRefusal(entryKey: string, start: TaskStartRef, reason: RefusalReason): void {
+		if (this.runs.get(start) === undefined) {
+			const knownRun = this.runs.getLastRunNumber(start);
+			this.reportEnd(entryKey, { ...start, end: 'refused', reason, knownRun });
+			return;
+		}
+		const key = getTaskKey(start);
+		const refusals = this._deferredRefusals.get(key) ?? [];
+		this._deferredRefusals.set(key, [...refusals, { entryKey, start, reason }]);
+	}
+
+	/** Returns the starts of an entry that are held, or are refused once a held run has ended. */
+	getStartsOfEntry(entryKey: string): readonly TaskStartRef[] {
+		const refusals = [...this._deferredRefusals.values()].flat();
+		return [
+			...this.runs.getRunsOfEntry(entryKey).map(toStartRef),
+			...refusals.filter((refusal) => refusal.entryKey === entryKey).map(({ start }) => start),
+		];
+	}
+
+	private _reportDeferredRefusals(key: string): void {
+		const refusals = this._deferredRefusals.get(key) ?? [];
+		this._deferredRefusals.delete(key);
+		for (const { entryKey, start, reason } of refusals) {
+			this.reportRefusal(entryKey, start, reason);
+		}
 	}
 
 	/** Reports an end, and remembers it for an entry that reconnects. */
--- a/src/dispatch/node/taskExecutor.ts
+++ b/src/dispatch/node/taskExecutor.ts
@@ -9,7 +9,6 @@
 import { describeError } from '../../base/common/errors.js';
 import {
 	describeRun,
-	toRunRef,
 	toStartRef,
 	getTaskKey,
 	isSameStart,
@@ -44,6 +43,7 @@
 import type { ExecutorOptions, IExecutorHost } from './executorOptions.js';
 import { LostEntryMonitor } from './lostEntryMonitor.js';
 import { RunOrderSender } from './runOrderSender.js';
+import { RefusedStarts } from './refusedStarts.js';
 import { RestartResolver } from './restartResolver.js';
 import { RunRecords } from './runRecords.js';
 import { RunStopper } from './runStopper.js';
@@ -61,6 +61,7 @@
 	private readonly _orderSender: RunOrderSender;
 	private readonly _stopper: RunStopper;
 	private readonly _restartResolver: RestartResolver;
+	private readonly _refusedStarts: RefusedStarts;
 	private readonly _poller: WorkerPoller;
 	private readonly _verifier: AnnouncementVerifier;
 	private readonly _lostEntries = this._register(new LostEntryMonitor());
@@ -92,7 +93,7 @@
 			new EntryReporter(
 				{
 					getWorkerState: () => this._getWorkerState(),
-					getHeldRuns: (entryKey) => this._runs.getRunsOfEntry(entryKey).map(toStartRef),
+					getHeldRuns: (entryKey) => this._records.getStartsOfEntry(entryKey),
 					send: _host.send.bind(_host),
 				},
 				_options.clock,
@@ -113,6 +114,7 @@
 			log: _options.log,
 		});
 		this._restartResolver = new RestartResolver(this._records, this._stopper, _options.log);
+		this._refusedStarts = new RefusedStarts(this._records, this._stopper, _options.log);
 		this._poller = this._register(
 			new WorkerPoller(this, { ..._options, taskWorker: _taskWorker, lease: this._lease }),
 		);
@@ -260,15 +262,7 @@
 	): void {
 		const refusal = this._findRefusalReason(job, task, sentAt);
 		if (refusal !== undefined) {
-			const knownRun = this._runs.getLastRunNumber(task);
-			if (knownRun > 0) {
-				const heldRun = this._runs.get(task);
-				this._options.log.info('start.refused', {
-					...{ ...toRunRef(task), reason: refusal, knownRun, entryKey },
-					...{ heldPhase: heldRun?.phase, heldFor: heldRun?.entryKey },
-				});
-			}
-			this._records.reportEnd(entryKey, { ...toStartRef(task), end: 'refused', reason: refusal, knownRun });
+			this._refusedStarts.refuse(entryKey, task, refusal);
 			return;
 		}
 		const run = createHeldRun(task, job, { entryKey, sentAt }, this._nowMs());
@@ -283,18 +277,13 @@
 		task: TaskStartRef,
 		sentAt: WorkerTime | undefined,
 	): RefusalReason | undefined {
-		const heldRun = this._runs.get(task);
-		const refusal = findRefusalReason(job, task, {
+		return findRefusalReason(job, task, {
 			worker: this._worker.announcement,
 			isAccepting: this._isAccepting(),
 			isExpired: this._lease.isStartExpired(sentAt, this._nowMs()),
 			runs: this._runs,
 			isCapacityKnown: !this._hasUnknownRuns && this._worker.isCapacityKnown(this._nowMs()),
 		});
-		if (heldRun !== undefined && refusal === 'noRoom') {
-			this._stopper.stop(heldRun, 'replaced');
-		}
-		return refusal;
 	}
 
 	private async _sendStart(run: HeldRun): Promise<void> {
@@ -340,12 +329,7 @@
 		} else {
 			this._records.removeRefusedRun(run);
 		}
-		this._records.reportEnd(run.entryKey, {
-			...toStartRef(run),
-			end: 'refused',
-			reason: toRefusalReason(reason),
-			knownRun: this._runs.getLastRunNumber(run),
-		});
+		this._records.reportRefusal(run.entryKey, toStartRef(run), toRefusalReason(reason));
 		if (reason === 'otherWorker') {
 			this._forgetWorker('otherWorker');
 		}
