Tasks wait for the ends of earlier starts of which the entry has let go

Callers' tasks could run on two workers at once. An entry that ends a job tells the agents to stop its runs and forgets them; when the job came again at once, its tasks were started while the earlier runs were being stopped, for some 50 ms, or up to 1.6 s at an agent that had lost its connection. After a reconnection the same happened in one step: an earlier start that the agent held was stopped, and the later one, which was lost with the old connection, was queued and sent again.

The class is a task that is freed by a stop that was sent, without a proof that the run has ended. The entry now keeps such starts (EndingRuns), and the placer passes over their tasks until the agent reports the end, connects again without the run, or reports its first state after a restart. If the agent can't be reached, the time after which its runs have ended decides (1.6 s); at a connected agent that never reports the end, 10 s.

--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -19,6 +19,7 @@
 import { defaultRetryAfterMs, JobAdmission } from './jobAdmission.js';
 import { CrashHistory } from './crashHistory.js';
 import { CrashResponse } from './crashResponse.js';
+import { EndingRuns } from './endingRuns.js';
 import { compareHeldRuns } from './heldRunComparison.js';
 import { computeOrderKey } from './jobOrder.js';
 import { JobRegistry } from './jobRegistry.js';
@@ -55,6 +56,7 @@
 	/** Crashes that agents and other entries have reported. */
 	readonly crashes = new CrashHistory();
 	private readonly _agents = new AgentTable();
+	private readonly _endingRuns = new EndingRuns();
 	private readonly _admission: JobAdmission;
 	private readonly _placer: TaskPlacer;
 	private readonly _rejections: JobRejections;
@@ -77,6 +79,7 @@
 			counters: this.counters,
 			agents: this._agents,
 			rejections: this._rejections,
+			endingRuns: this._endingRuns,
 		});
 		this._crashResponse = new CrashResponse(_host, this.crashes, this._jobs, this._admission.confinement);
 		this._runEnds = new RunEndHandler({
@@ -87,11 +90,13 @@
 			waitingJobs: this._waitingJobs,
 			crashes: this.crashes,
 			crashResponse: this._crashResponse,
+			endingRuns: this._endingRuns,
 		});
 		this._placer = new TaskPlacer(
 			this._agents,
 			getLimits,
 			this.crashes,
+			this._endingRuns,
 			(connectionId, message) => {
 				_host.send(connectionId, message);
 			},
@@ -196,7 +201,7 @@
 		}
 		const earlierIncarnation = this._agents.connect(connectionId, agentId, incarnation);
 		if (earlierIncarnation !== undefined) {
-			markRunsInDoubt(earlierIncarnation, nowMs + this._options.orphanLifetimeMs);
+			this._markUnreachable(earlierIncarnation, nowMs);
 		}
 	}
 
@@ -207,7 +212,13 @@
 			return;
 		}
 		this._host.log('warn', 'agent.lost', { agentId: agent.agentId, reason, runs: agent.runs.size });
-		markRunsInDoubt(agent, nowMs + this._options.orphanLifetimeMs);
+		this._markUnreachable(agent, nowMs);
+	}
+
+	private _markUnreachable(agent: AgentRow, nowMs: number): void {
+		const untilMs = nowMs + this._options.orphanLifetimeMs;
+		markRunsInDoubt(agent, untilMs);
+		this._endingRuns.handleAgentLost(agent, untilMs);
 	}
 
 	/** Handles an agent's report. Returns whether {@link schedule} should run now, in addition to its regular calls. */
@@ -222,7 +233,7 @@
 			this._runEnds.handleEnd(agent, end, nowMs);
 		}
 		if (report.heldRuns !== undefined) {
-			this._reconcileHeldRuns(agent, report.heldRuns);
+			this._reconcileHeldRuns(agent, report.heldRuns, nowMs);
 		}
 		if (report.state === undefined) {
 			agent.state = { ...agent.state, isAccepting: false };
@@ -278,6 +289,7 @@
 
 	private _expireJobs(nowMs: number): void {
 		this._jobs.forgetOldOutcomes(nowMs);
+		this._endingRuns.forgetEnded(nowMs);
 		for (const job of this._jobs.all) {
 			this._endJobIfOverdue(job, nowMs);
 		}
@@ -383,6 +395,7 @@
 	 */
 	private _resolveEarlierIncarnation(agent: AgentRow, nowMs: number): void {
 		this._crashResponse.handleAgentRestarted(agent, nowMs);
+		this._endingRuns.handleEarlierIncarnationsEnded(agent);
 		for (const job of this._jobs.all) {
 			for (const task of job.tasks) {
 				const isEarlierRun = task.agentId === agent.agentId && !agent.runs.has(getRunKey(job, task));
@@ -393,7 +406,12 @@
 		}
 	}
 
-	private _reconcileHeldRuns(agent: AgentRow, heldRuns: readonly TaskStartRef[]): void {
+	/**
+	 * Compares the runs that an agent holds with those that were sent to it. A task whose last start was lost is queued again; if the
+	 * agent holds an earlier start of it, it waits until the agent has reported the end of that.
+	 */
+	private _reconcileHeldRuns(agent: AgentRow, heldRuns: readonly TaskStartRef[], nowMs: number): void {
+		this._endingRuns.handleHeldRuns(agent, heldRuns);
 		const { unknown, confirmed, missing } = compareHeldRuns(agent, heldRuns);
 		if (unknown.length > 0 || missing.length > 0) {
 			this._host.log('info', 'runs.reconciled', {
@@ -406,6 +424,9 @@
 		for (const { task } of confirmed) {
 			task.phase = 'placed';
 		}
+		for (const start of unknown) {
+			this._endingRuns.add({ start, agentId: agent.agentId, agent }, nowMs);
+		}
 		for (const { job, task } of missing) {
 			removeRun(agent, job, task);
 			this._runEnds.requeueTask(job, task);
--- a/src/dispatch/common/jobRegistry.ts
+++ b/src/dispatch/common/jobRegistry.ts
@@ -3,6 +3,8 @@
 import type { LogFields } from '../../services/log/common/log.js';
 import type { AgentTable } from './agentTable.js';
 import type { DispatchCounters, IDispatchHost } from './dispatchHost.js';
+import type { EndingRuns } from './endingRuns.js';
+import { getTaskKey } from './dispatchMessages.js';
 import { defaultRetryAfterMs } from './jobAdmission.js';
 import type { JobRejections } from './jobRejections.js';
 import type { JobRow } from './jobTable.js';
@@ -26,6 +28,8 @@
 	readonly counters: DispatchCounters;
 	readonly agents: AgentTable;
 	readonly rejections: JobRejections;
+	/** Runs that are at work, or may be, when their job ends are added. */
+	readonly endingRuns: EndingRuns;
 }
 
 interface EndedJob {
@@ -153,15 +157,23 @@
 		if (outcome.kind === 'completed' || outcome.kind === 'failed') {
 			job.state = outcome.kind;
 		}
-		this._stopRuns(job);
+		this._stopRuns(job, nowMs);
 		for (const listener of [...job.listeners]) {
 			listener(outcome);
 		}
 		job.listeners.clear();
 	}
 
-	private _stopRuns(job: JobRow): void {
-		const { agents, host } = this._services;
+	private _stopRuns(job: JobRow, nowMs: number): void {
+		const { agents, host, endingRuns } = this._services;
+		for (const { phase, agentId, taskIndex, run, startId, inDoubtUntilMs } of job.tasks) {
+			if (phase === 'placed' || phase === 'stopping' || phase === 'inDoubt') {
+				const known = agents.get(agentId);
+				const start = { jobId: job.request.jobId, taskIndex, run, startId };
+				const agent = known?.runs.has(getTaskKey(start)) === true ? known : undefined;
+				endingRuns.add({ start, agentId, agent }, nowMs, phase === 'inDoubt' ? inDoubtUntilMs : undefined);
+			}
+		}
 		for (const [agent, tasks] of agents.takeRunsOfJob(job)) {
 			if (agent.connectionId !== undefined) {
 				host.send(agent.connectionId, { kind: 'stopTasks', tasks });
--- a/src/dispatch/common/runEndHandler.ts
+++ b/src/dispatch/common/runEndHandler.ts
@@ -5,6 +5,7 @@
 import type { CrashResponse } from './crashResponse.js';
 import { logIfLate, type DispatchCounters, type IDispatchHost } from './dispatchHost.js';
 import { isSameStart, type RefusalReason, type TaskEndReport } from './dispatchMessages.js';
+import type { EndingRuns } from './endingRuns.js';
 import type { JobRegistry } from './jobRegistry.js';
 import { recordRefusedStart, traceStep, type JobRow, type TaskRow } from './jobTable.js';
 
@@ -26,6 +27,7 @@
 	readonly waitingJobs: Set<JobRow>;
 	readonly crashes: CrashHistory;
 	readonly crashResponse: CrashResponse;
+	readonly endingRuns: EndingRuns;
 }
 
 /**
@@ -52,8 +54,9 @@
 		}
 	}
 
-	/** Handles the end of a run that an agent has reported. Ends of other than a task's last start are ignored. */
+	/** Handles the end of a run that an agent has reported. Ends of other than a task's last start only free the task. */
 	handleEnd(agent: AgentRow, report: TaskEndReport, nowMs: number): void {
+		this._services.endingRuns.handleEnd(agent, report);
 		const job = this._services.jobs.get(report.jobId);
 		const task = job?.tasks[report.taskIndex];
 		if (job === undefined || task?.agentId !== agent.agentId || !isSameStart(task, report)) {
--- a/src/dispatch/common/taskPlacer.ts
+++ b/src/dispatch/common/taskPlacer.ts
@@ -8,6 +8,7 @@
 	type AgentRow,
 	type AgentTable,
 } from './agentTable.js';
+import type { EndingRuns } from './endingRuns.js';
 import type { JobStart, StartTasksMessage } from './dispatchMessages.js';
 import { recordStart, traceStep, type JobRow, type TaskRow } from './jobTable.js';
 import type { JobRequest } from './jobs.js';
@@ -36,6 +37,7 @@
 		private readonly _agents: AgentTable,
 		private readonly _getLimits: (request: JobRequest, nowMs: number) => PlacementLimits,
 		private readonly _crashes: CrashHistory,
+		private readonly _endingRuns: EndingRuns,
 		private readonly _send: (connectionId: number, message: StartTasksMessage) => void,
 		private readonly _random: () => number,
 	) {}
@@ -77,14 +79,12 @@
 	private _placeJob(job: JobRow, starts: StartsByAgent, nowMs: number): boolean {
 		const limits = this._getLimits(job.request, nowMs);
 		for (const task of job.tasks) {
-			if (task.phase !== 'waiting') {
+			const taskRef = { jobId: job.request.jobId, taskIndex: task.taskIndex };
+			if (task.phase !== 'waiting' || this._endingRuns.has(taskRef, nowMs)) {
 				continue;
 			}
 			const placement = createPlacementRequest(job.request, task.excludedAgentIds, limits);
-			const suspicion = this._crashes.getSuspicion({
-				jobId: job.request.jobId,
-				taskIndex: task.taskIndex,
-			});
+			const suspicion = this._crashes.getSuspicion(taskRef);
 			const agent = chooseWorker(
 				this._agents.all,
 				suspicion === undefined
