Runs of a leaving worker are lost only once it is certainly gone

A caller's task could run on two workers at once, the first of them a worker that had said that it leaves. A single poll without an answer, a mere time-out, counted as proof that it was gone: all its runs were reported as lost and started elsewhere, while they went on until their leases lapsed, up to 0.7 s.

Now a refused connection proves it, since nothing listens any more, or the lapse of the lease, as for any silent worker.

--- a/src/dispatch/node/taskExecutor.ts
+++ b/src/dispatch/node/taskExecutor.ts
@@ -176,7 +176,10 @@
 		this._scheduleStateReports();
 	}
 
-	/** Handles the final message of a worker that leaves. Its runs have ended once it doesn't answer any more. */
+	/**
+	 * Handles the final message of a worker that leaves. Its runs have ended once it refuses connections, or once its lease has
+	 * lapsed: an answer may be lost while it still runs.
+	 */
 	handleWorkerLeft(workerId: string): void {
 		if (this._worker.announcement?.workerId !== workerId) {
 			return;
@@ -360,6 +363,9 @@
 	}
 
 	handleLeaseLapsed(): void {
+		if (this._worker.hasLeft) {
+			this._handleWorkerGone();
+		}
 		this._records.endAllRuns('lost');
 		this._areEarlierRunsGone ||= this._nowMs() - this._executorStartedMs > earlierRunsExpiryMs;
 	}
@@ -372,14 +378,20 @@
 	}
 
 	handleUnansweredPoll(sinceMs: number, isConnectionRefused: boolean): void {
-		if (this._worker.hasLeft) {
-			this._forgetWorker('left');
-			this._records.endAllRuns('lost');
+		if (!isConnectionRefused) {
 			return;
 		}
-		if (isConnectionRefused) {
-			this._recordCrash('connectionRefused', sinceMs);
+		if (this._worker.hasLeft) {
+			this._handleWorkerGone();
+			return;
 		}
+		this._recordCrash('connectionRefused', sinceMs);
+	}
+
+	/** Handles that a worker that has said that it exits has done so. */
+	private _handleWorkerGone(): void {
+		this._forgetWorker('left');
+		this._records.endAllRuns('lost');
 	}
 
 	private _recordCrash(
--- a/src/dispatch/node/test/fakeTaskWorker.ts
+++ b/src/dispatch/node/test/fakeTaskWorker.ts
@@ -14,6 +14,7 @@
 	type StartOrder,
 	type StopAnswer,
 	type StopOrder,
+	type UnansweredOrder,
 } from '../../common/taskWorker.js';
 
 /**
@@ -44,6 +45,8 @@
 	acknowledgedEnd = 0;
 	/** Number of starts that were carried out but timed out without an answer. */
 	unansweredStarts = 0;
+	/** Number of hold orders that timed out without an answer. */
+	unansweredHolds = 0;
 	leaseUntilMs = 0;
 	/** Called for each accepted hold order before it is answered. */
 	beforeHoldAnswer: () => void = () => undefined;
@@ -76,7 +79,7 @@
 			return this._timeOut();
 		}
 		if (this.startHandling === 'undelivered') {
-			return { kind: 'unanswered', message: 'connect ECONNREFUSED', isConnectionRefused: true };
+			return refuseConnection();
 		}
 		if (order.run === this.refusedRun) {
 			return { kind: 'refused', reason: 'unhealthy' };
@@ -119,8 +122,13 @@
 	}
 
 	async hold(order: HoldOrder): Promise<HoldAnswer> {
+		if (this.holdHandling === 'undelivered') {
+			return refuseConnection();
+		}
 		if (this.holdHandling !== 'answered') {
-			return this._timeOut();
+			const answer = await this._timeOut();
+			this.unansweredHolds += 1;
+			return answer;
 		}
 		if (this.workerId !== undefined && order.workerId !== undefined && order.workerId !== this.workerId) {
 			return { kind: 'refused', reason: 'otherWorker' };
@@ -152,8 +160,12 @@
 		return this.ended.filter(({ number }) => number > acknowledgedEnd);
 	}
 
-	private async _timeOut(): Promise<{ readonly kind: 'unanswered'; readonly message: string }> {
+	private async _timeOut(): Promise<UnansweredOrder> {
 		await new Promise((resolve) => setTimeout(resolve, orderTimeoutMs));
 		return { kind: 'unanswered', message: 'no answer' };
 	}
 }
+
+function refuseConnection(): UnansweredOrder {
+	return { kind: 'unanswered', message: 'connect ECONNREFUSED', isConnectionRefused: true };
+}
