Join the tests of replaced runs with the silence of lost entries; a test waits for the report that it checks

The test of a worker that starts anew under another ID expected the lost run's report together with the new worker's state.

--- a/src/dispatch/node/test/replacedRun.test.ts
+++ b/src/dispatch/node/test/replacedRun.test.ts
@@ -84,7 +84,7 @@
 	const harness = await holdRun(t, 1);
 	harness.start(2, 'job', { run: 2, startId: 1 });
 	await waitUntil(() => harness.worker.stops.length > 0);
-	harness.executor.handleEntryLost(2);
+	harness.executor.handleEntryLost(2, 0);
 	harness.executor.handleEntryConnected(3, 'entry-2', 'life-1');
 	await waitUntil(() => harness.reports.some(({ connectionId }) => connectionId === 3));
 	const firstReport = harness.reports.find(({ connectionId }) => connectionId === 3);
@@ -95,7 +95,7 @@
 	});
 	await waitForReports();
 	t.deepEqual(harness.ends(3), []);
-	harness.executor.handleEntryLost(3);
+	harness.executor.handleEntryLost(3, 0);
 	harness.worker.stopHandling = 'answered';
 	await waitUntil(() => harness.ends(1).length === 1);
 	harness.executor.handleEntryConnected(4, 'entry-2', 'life-1');
--- a/src/dispatch/node/test/taskExecutor.test.ts
+++ b/src/dispatch/node/test/taskExecutor.test.ts
@@ -416,6 +416,7 @@
 	harness.worker.workerId = 'w-2';
 	harness.announce({ workerId: 'w-2', bornAtMs: 2000 });
 	await waitUntil(() => harness.state?.workerId === 'w-2' && harness.state.isAccepting);
+	await waitUntil(() => harness.ends().length === 1);
 	t.like(harness.ends()[0], { jobId: 'job', end: 'lost' });
 });
 
