Entries that were away place tasks once they know what was cancelled

An entry that was paused for more than 0.5 s, or had lost all agents, places nothing until each entry that it has heard from in the last minute has told what it remembers, for 0.8 s at most. The loss of other entries alone holds nothing.

--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -268,11 +268,17 @@
 		this._crashResponse.handleCrashes(crashes, nowMs);
 	}
 
-	/** Reviews the workers' health, places waiting tasks, and ends jobs that can no longer finish in time. */
-	schedule(nowMs: number): void {
+	/**
+	 * Reviews the workers' health, places waiting tasks, and ends jobs that can no longer finish in time.
+	 *
+	 * @param mayPlace `false` while this entry may not know yet which of its jobs were cancelled
+	 */
+	schedule(nowMs: number, mayPlace = true): void {
 		this._runEnds.requeueExpiredInDoubt(nowMs);
 		this._reviewWorkers(nowMs);
-		this._placeWaitingTasks(nowMs);
+		if (mayPlace) {
+			this._placeWaitingTasks(nowMs);
+		}
 		this._expireJobs(nowMs);
 	}
 
--- a/src/dispatch/node/dispatcher.ts
+++ b/src/dispatch/node/dispatcher.ts
@@ -21,10 +21,11 @@
 	WorkerCrashesMessage,
 } from '../common/dispatchMessages.js';
 import type { JobOutcome, JobRequest, JobState } from '../common/jobs.js';
+import { RejoinHold } from '../common/rejoinHold.js';
 import { JobTimeHistogram } from './jobTimeHistogram.js';
 import { reconnectGraceMs } from './lostEntryMonitor.js';
 
-/** Interval at which deadlines and workers are checked while jobs are held. */
+/** Interval at which pauses are noticed, and deadlines and workers are checked while jobs are held. */
 const scheduleIntervalMs = 15;
 /** Maximum time for a stop order to reach a worker and end the run, including a margin for late timers. */
 const stopDurationMs = 250;
@@ -46,6 +47,7 @@
 export class Dispatcher extends Disposable implements IDispatchHost {
 	private readonly _core: DispatchCore;
 	private readonly _connections = new Map<number, IConnection>();
+	private readonly _rejoinHold: RejoinHold;
 	private readonly _jobTimes = new JobTimeHistogram();
 	private _nextConnectionId = 1;
 	private _isScheduleQueued = false;
@@ -57,7 +59,9 @@
 		// stops the runs.
 		const orphanLifetimeMs = silenceTimeoutMs + heartbeatIntervalMs + reconnectGraceMs + stopDurationMs;
 		this._core = new DispatchCore(this, { orphanLifetimeMs }, this._nowMs());
+		this._rejoinHold = new RejoinHold(this._nowMs());
 		const timer = setInterval(() => {
+			this._rejoinHold.check(this._nowMs());
 			if (this._core.jobCount > 0) {
 				this._schedule();
 			}
@@ -128,23 +132,16 @@
 
 	/** Accepts a connection from an agent or another entry, and handles its messages until it closes. */
 	accept(connection: IConnection): void {
+		const connectionId = this._nextConnectionId;
+		this._nextConnectionId += 1;
 		if (connection.peer.role === 'entry') {
-			connection.onDidReceive((message) => {
-				if (message.kind === 'cancelJob') {
-					this._core.cancel(readMessage(message, isCancelJob).jobId, 'asked', this._nowMs());
-				}
-				if (message.kind === 'cancelledJobs') {
-					this._core.handleCancelledJobs(readMessage(message, isCancelledJobs).jobs, this._nowMs());
-				}
-				if (message.kind === 'workerCrashes') {
-					this._core.handleCrashes(readMessage(message, isWorkerCrashes).crashes, this._nowMs());
-				}
-			});
+			this._acceptEntry(connectionId, connection);
 			return;
 		}
-		const connectionId = this._nextConnectionId;
-		this._nextConnectionId += 1;
 		const { processId, incarnation } = connection.peer;
+		if (this._connections.size === 0) {
+			this._rejoinHold.begin(this._nowMs());
+		}
 		this._connections.set(connectionId, connection);
 		this._core.handleAgentConnected(connectionId, processId, incarnation, this._nowMs());
 		connection.onDidReceive((message) => {
@@ -199,6 +196,25 @@
 		return Math.random();
 	}
 
+	private _acceptEntry(connectionId: number, connection: IConnection): void {
+		const { processId } = connection.peer;
+		connection.onDidReceive((message) => {
+			if (message.kind === 'cancelJob') {
+				this._core.cancel(readMessage(message, isCancelJob).jobId, 'asked', this._nowMs());
+			}
+			if (message.kind === 'cancelledJobs') {
+				this._core.handleCancelledJobs(readMessage(message, isCancelledJobs).jobs, this._nowMs());
+				this._rejoinHold.handlePeerCaughtUp(processId, connectionId);
+			}
+			if (message.kind === 'workerCrashes') {
+				this._core.handleCrashes(readMessage(message, isWorkerCrashes).crashes, this._nowMs());
+			}
+		});
+		connection.onDidClose(() => {
+			this._rejoinHold.handlePeerLost(processId, connectionId, this._nowMs());
+		});
+	}
+
 	private _queueSchedule(): void {
 		if (this._isScheduleQueued) {
 			return;
@@ -212,7 +228,9 @@
 
 	private _schedule(): void {
 		if (!this._isDisposed) {
-			this._core.schedule(this._nowMs());
+			const nowMs = this._nowMs();
+			this._rejoinHold.check(nowMs);
+			this._core.schedule(nowMs, !this._rejoinHold.isActive(nowMs));
 		}
 	}
 
--- a/src/dispatch/node/test/memorySystem.ts
+++ b/src/dispatch/node/test/memorySystem.ts
@@ -418,9 +418,14 @@
 
 	/** Ends all cuts. */
 	heal(): void {
+		this._cutEntryPairs.clear();
+		this.healAgents();
+	}
+
+	/** Ends the cuts between entries and agents. */
+	healAgents(): void {
 		this._troubleLog.info('heal', {});
 		this._cutPairs.clear();
-		this._cutEntryPairs.clear();
 		this._connectAll();
 	}
 
