--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -265,13 +265,13 @@
 		return this._waitingJobs.size > 0;
 	}
 
-	/** Handles cancellings that another entry remembers. */
-	handleCancelledJobs(jobs: readonly CancelledJob[], nowMs: number): void {
-		for (const cancelled of jobs) {
-			if (this.cancelledJobs.add(cancelled, nowMs)) {
-				this.cancel(cancelled.jobId, 'asked', nowMs);
-			}
+	/** Handles cancellings that another entry tells. Returns those that were not known. */
+	handleCancelledJobs(jobs: readonly CancelledJob[], nowMs: number): readonly CancelledJob[] {
+		const added = jobs.filter((cancelled) => this.cancelledJobs.add(cancelled, nowMs));
+		for (const { jobId } of added) {
+			this.cancel(jobId, 'asked', nowMs);
 		}
+		return added;
 	}
 
 	/** Handles crashes that another entry remembers. */
@@ -279,11 +279,17 @@
 		this._crashResponse.handleCrashes(crashes, nowMs);
 	}
 
-	/** Reviews the workers' health, places waiting tasks, and ends jobs that can no longer finish in time. */
-	schedule(nowMs: number): void {
+	/**
+	 * Reviews the workers' health, places waiting tasks, and ends jobs that can no longer finish in time.
+	 *
+	 * @param mayPlace `false` while this entry may not know yet which of its jobs were cancelled
+	 */
+	schedule(nowMs: number, mayPlace = true): void {
 		this._runEnds.requeueExpiredInDoubt(nowMs);
 		this._reviewWorkers(nowMs);
-		this._placeWaitingTasks(nowMs);
+		if (mayPlace) {
+			this._placeWaitingTasks(nowMs);
+		}
 		this._expireJobs(nowMs);
 	}
 
