Runs that a silent worker has never listed are lost only after the longest lease

A caller's task could run on two workers at once for up to 0.3 s. When a worker stops answering, its agent reports its runs as lost 0.8 s after the last renewal. A run that no list has shown yet may have been taken by a new life of the worker of which the agent hasn't learned: by the clock of that life the lease lies ahead, so that it holds for the 1 s that a worker grants.

Such runs are now lost after 1 s and the margin, unless the connection is refused. Runs that the known life of the worker has listed are lost after 0.7 s and the margin as before, and all of them then if the connection is refused.

--- a/src/dispatch/common/heldRuns.ts
+++ b/src/dispatch/common/heldRuns.ts
@@ -42,6 +42,8 @@
 	stopConfirmedMs: number | undefined;
 	/** Time at which the worker first listed neither the run nor its end. */
 	missingSinceMs: number | undefined;
+	/** Whether the known life of the worker has listed the run as running. */
+	isListed: boolean;
 	/** Whether the run ends as lost once it can't begin any more, since the worker has restarted. */
 	isLostWithWorker: boolean;
 }
@@ -91,6 +93,7 @@
 		progressPercent: 0,
 		stopConfirmedMs: undefined,
 		missingSinceMs: undefined,
+		isListed: false,
 		isLostWithWorker: false,
 	};
 }
--- a/src/dispatch/common/workerLease.ts
+++ b/src/dispatch/common/workerLease.ts
@@ -28,6 +28,8 @@
 	private _clockOffsetMs: number | undefined;
 	/** Latest expiry of the lease, by this process's clock. */
 	private _expiresAtMs = -Infinity;
+	/** Latest expiry of what a restarted worker may have taken; see {@link hasLapsedAtAnyLife}. */
+	private _expiresAtAnyLifeMs = -Infinity;
 
 	constructor(fencingToken: number) {
 		this._fencingToken = fencingToken;
@@ -54,6 +56,7 @@
 	/** Renews the lease. Returns its expiry by the worker's clock. */
 	renew(nowMs: number): number {
 		this._expiresAtMs = nowMs + leaseDurationMs;
+		this._expiresAtAnyLifeMs = nowMs + maxWorkerLeaseMs;
 		return Math.floor(this._expiresAtMs + (this._clockOffsetMs ?? 0));
 	}
 
@@ -84,11 +87,19 @@
 		);
 	}
 
-	/** Returns whether the last renewal has expired, so that nothing can run at the worker any more. */
+	/** Returns whether the last renewal has expired, so that nothing can run any more at the known life of the worker. */
 	hasLapsed(nowMs: number): boolean {
 		return nowMs > this._expiresAtMs + lapseMarginMs;
 	}
 
+	/**
+	 * Returns whether nothing can run at the worker any more, whether or not it has restarted meanwhile: by the clock of a new life, the
+	 * lease may lie ahead for as long as the worker grants.
+	 */
+	hasLapsedAtAnyLife(nowMs: number): boolean {
+		return nowMs > this._expiresAtAnyLifeMs + lapseMarginMs;
+	}
+
 	/** Raises the fencing token after the worker has seen a higher one. Returns the new token. */
 	raiseToken(): number {
 		this._fencingToken += tokenIncrement;
@@ -105,5 +116,6 @@
 		this._incarnation += 1;
 		this._clockOffsetMs = undefined;
 		this._expiresAtMs = nowMs + maxWorkerLeaseMs;
+		this._expiresAtAnyLifeMs = this._expiresAtMs;
 	}
 }
--- a/src/dispatch/node/restartResolver.ts
+++ b/src/dispatch/node/restartResolver.ts
@@ -27,6 +27,9 @@
 	/** Records that the worker has restarted, or that another one has taken its place. */
 	handleRestart(): void {
 		this._isPending = true;
+		for (const run of this._records.runs.all) {
+			run.isListed = false;
+		}
 	}
 
 	/**
--- a/src/dispatch/node/runRecords.ts
+++ b/src/dispatch/node/runRecords.ts
@@ -57,6 +57,7 @@
 	/** Records the progress of a run that the worker lists. */
 	recordProgress(run: HeldRun, { percent }: RunningTask): void {
 		run.missingSinceMs = undefined;
+		run.isListed = true;
 		this.markRunning(run);
 		run.progressPercent = percent;
 		this.paceMeter.recordProgress(getTaskKey(run), percent, run.estimateMs, this._clock.nowMs());
@@ -96,10 +97,12 @@
 		this.reportEnd(run.entryKey, { ...toStartRef(run), end });
 	}
 
-	/** Removes all runs and reports their end. */
-	endAllRuns(end: RunEnd): void {
+	/** Removes all runs, or those that the known life of the worker has listed, and reports that they are lost. */
+	endLostRuns(which: 'all' | 'listed'): void {
 		for (const run of this.runs.all) {
-			this.endRun(run, end);
+			if (which === 'all' || run.isListed) {
+				this.endRun(run, 'lost');
+			}
 		}
 	}
 
--- a/src/dispatch/node/taskExecutor.ts
+++ b/src/dispatch/node/taskExecutor.ts
@@ -362,12 +362,14 @@
 		this._orderSender.raiseToken();
 	}
 
-	handleLeaseLapsed(): void {
-		if (this._worker.hasLeft) {
-			this._handleWorkerGone();
+	handleLeaseLapsed(isConnectionRefused: boolean): void {
+		const nowMs = this._nowMs();
+		const haveAllEnded = isConnectionRefused || this._lease.hasLapsedAtAnyLife(nowMs);
+		this._records.endLostRuns(haveAllEnded ? 'all' : 'listed');
+		if (this._worker.hasLeft && this._runs.size === 0) {
+			this._forgetWorker('left');
 		}
-		this._records.endAllRuns('lost');
-		this._areEarlierRunsGone ||= this._nowMs() - this._executorStartedMs > earlierRunsExpiryMs;
+		this._areEarlierRunsGone ||= nowMs - this._executorStartedMs > earlierRunsExpiryMs;
 	}
 
 	handleRespondingChanged(isResponding: boolean, message: string): void {
@@ -382,18 +384,13 @@
 			return;
 		}
 		if (this._worker.hasLeft) {
-			this._handleWorkerGone();
+			this._forgetWorker('left');
+			this._records.endLostRuns('all');
 			return;
 		}
 		this._recordCrash('connectionRefused', sinceMs);
 	}
 
-	/** Handles that a worker that has said that it exits has done so. */
-	private _handleWorkerGone(): void {
-		this._forgetWorker('left');
-		this._records.endAllRuns('lost');
-	}
-
 	private _recordCrash(
 		evidence: CrashEvidence,
 		crashedAtMs: number,
--- a/src/dispatch/node/test/fakeTaskWorker.ts
+++ b/src/dispatch/node/test/fakeTaskWorker.ts
@@ -45,12 +45,12 @@
 	acknowledgedEnd = 0;
 	/** Number of starts that were carried out but timed out without an answer. */
 	unansweredStarts = 0;
-	/** Number of hold orders that timed out without an answer. */
+	answeredHolds = 0;
+	/** Number of hold orders that were not answered. */
 	unansweredHolds = 0;
 	leaseUntilMs = 0;
 	/** Called for each accepted hold order before it is answered. */
 	beforeHoldAnswer: () => void = () => undefined;
-	private _answeredHolds = 0;
 	private readonly _lastStoppedRuns = new Map<string, number>();
 
 	constructor(private readonly _clock: IClock) {
@@ -99,8 +99,8 @@
 		this.running.set(getTaskKey(order), { jobId, taskIndex, run, percent: 0 });
 		if (this.startHandling === 'lostAnswer') {
 			// Time out only after two more answers that list the run, however slow the machine is.
-			const answeredBefore = this._answeredHolds;
-			while (this._answeredHolds < answeredBefore + 2) {
+			const answeredBefore = this.answeredHolds;
+			while (this.answeredHolds < answeredBefore + 2) {
 				await new Promise((resolve) => setTimeout(resolve, pollIntervalMs));
 			}
 			this.unansweredStarts += 1;
@@ -123,6 +123,7 @@
 
 	async hold(order: HoldOrder): Promise<HoldAnswer> {
 		if (this.holdHandling === 'undelivered') {
+			this.unansweredHolds += 1;
 			return refuseConnection();
 		}
 		if (this.holdHandling !== 'answered') {
@@ -145,7 +146,7 @@
 		while (this._clock.nowMs() < untilMs && this._getUnacknowledgedEnds(order).length === 0) {
 			await new Promise((resolve) => setTimeout(resolve, pollIntervalMs));
 		}
-		this._answeredHolds += 1;
+		this.answeredHolds += 1;
 		return {
 			kind: 'held',
 			clockMs: this._clock.nowMs(),
--- a/src/dispatch/node/workerPoller.ts
+++ b/src/dispatch/node/workerPoller.ts
@@ -4,7 +4,7 @@
 import { describeError } from '../../base/common/errors.js';
 import type { IClock } from '../../base/common/clock.js';
 import type { ILogService } from '../../services/log/common/log.js';
-import type { HoldAnswer, OrderContext, TaskWorker } from '../common/taskWorker.js';
+import type { HoldAnswer, OrderContext, TaskWorker, UnansweredOrder } from '../common/taskWorker.js';
 import type { WorkerLease } from '../common/workerLease.js';
 import { retryDelayMs } from './runOrderSender.js';
 
@@ -37,8 +37,11 @@
 	handleWorkerReplaced(): void;
 	/** Handles that the worker has refused the fencing token because it has seen a higher one. */
 	handleTokenRefused(): void;
-	/** Handles that the lease has lapsed, so that no run can remain at the worker. */
-	handleLeaseLapsed(): void;
+	/**
+	 * Handles a poll without an answer after the lease has lapsed, so that no run can remain at the known life of the worker; at
+	 * a refused connection, none can remain at any.
+	 */
+	handleLeaseLapsed(isConnectionRefused: boolean): void;
 	/** Handles that the worker starts or stops responding; `message` describes the missing answer. */
 	handleRespondingChanged(isResponding: boolean, message: string): void;
 	/**
@@ -138,19 +141,22 @@
 		}
 		if (answer.kind === 'unanswered') {
 			this._unansweredSinceMs ??= this._services.clock.nowMs();
-			this._host.handleUnansweredPoll(this._unansweredSinceMs, answer.isConnectionRefused === true);
-			this._handleUnansweredPoll(answer.message);
+			this._handleUnansweredPoll(answer, this._unansweredSinceMs);
 		}
 		await new Promise((resolve) => setTimeout(resolve, retryDelayMs));
 	}
 
-	private _handleUnansweredPoll(message: string): void {
+	private _handleUnansweredPoll(
+		{ message, isConnectionRefused = false }: UnansweredOrder,
+		sinceMs: number,
+	): void {
+		this._host.handleUnansweredPoll(sinceMs, isConnectionRefused);
 		this._unansweredPolls += 1;
 		if (this._unansweredPolls >= unansweredPollLimit) {
 			this._setResponding(false, message);
 		}
 		if (this._services.lease.hasLapsed(this._services.clock.nowMs())) {
-			this._host.handleLeaseLapsed();
+			this._host.handleLeaseLapsed(isConnectionRefused);
 		}
 	}
 
