--- a/src/dispatch/common/jobRegistry.ts
+++ b/src/dispatch/common/jobRegistry.ts
@@ -167,10 +167,11 @@
 	private _stopRuns(job: JobRow, nowMs: number): void {
 		const { agents, host, endingRuns } = this._services;
 		for (const { phase, agentId, taskIndex, run, startId, inDoubtUntilMs } of job.tasks) {
-			if (phase === 'placed' || phase === 'stopping' || phase === 'inDoubt') {
-				const known = agents.get(agentId);
-				const start = { jobId: job.request.jobId, taskIndex, run, startId };
-				const agent = known?.runs.has(getTaskKey(start)) === true ? known : undefined;
+			const start = { jobId: job.request.jobId, taskIndex, run, startId };
+			const known = agents.get(agentId);
+			const agent = known?.runs.has(getTaskKey(start)) === true ? known : undefined;
+			// Runs in doubt may be at an earlier incarnation of the agent.
+			if (agent !== undefined || phase === 'inDoubt') {
 				endingRuns.add({ start, agentId, agent }, nowMs, phase === 'inDoubt' ? inDoubtUntilMs : undefined);
 			}
 		}
--- a/src/dispatch/common/runEndHandler.ts
+++ b/src/dispatch/common/runEndHandler.ts
@@ -66,6 +66,7 @@
 			return;
 		}
 		removeRun(agent, job, task);
+		task.inDoubtUntilMs = nowMs;
 		const reason = report.reason === undefined ? '' : `:${report.reason}`;
 		traceStep(job, task, `${report.end}${reason}`, agent.agentId, nowMs);
 		switch (report.end) {
--- a/src/dispatch/common/test/endingRuns.test.ts
+++ b/src/dispatch/common/test/endingRuns.test.ts
@@ -123,3 +123,27 @@
 	harness.report(3, { heldRuns: [] });
 	t.is([1, 2, 3].flatMap((each) => harness.getStartedRuns(each)).length, 2);
 });
+
+for (const isInDoubt of [false, true]) {
+	const where = isInDoubt ? 'an agent that connects again' : 'an agent';
+	test(`a job that was given up when ${where} reported its run as lost starts at once when it comes again`, (t) => {
+		const harness = createHarnessWithTwoAgents();
+		const countStarts = (): number => [1, 2, 3].flatMap((each) => harness.getStartedRuns(each)).length;
+		harness.submit({ objectiveMs: 5000 });
+		for (let run = 1; run <= 3; run += 1) {
+			t.is(countStarts(), run);
+			const connectionId = [1, 2, 3].find((each) => harness.getStartedRuns(each).at(-1)?.run === run)!;
+			const lost = { ...first, run, startId: run, end: 'lost' } as const;
+			if (isInDoubt && run === 3) {
+				harness.core.handleAgentLost(connectionId, 'reset', harness.nowMs);
+				harness.connect(3, `agent-${connectionId}`);
+				harness.report(3, { ends: [lost], heldRuns: [] });
+			} else {
+				harness.reportEnd(connectionId, lost);
+			}
+		}
+		t.deepEqual(harness.outcomes, [{ kind: 'abandoned' }]);
+		harness.submit({ objectiveMs: 5000 });
+		t.is(countStarts(), 4);
+	});
+}
--- a/src/dispatch/node/test/taskExecutor.test.ts
+++ b/src/dispatch/node/test/taskExecutor.test.ts
@@ -101,6 +101,26 @@
 	t.like(late === undefined ? undefined : await harness.worker.start(late), { reason: 'olderRun' });
 });
 
+test('a run that the worker lists neither as running nor as ended is lost once it has been missing for a while', async (t) => {
+	let nowMs = monotonicClock.nowMs();
+	const harness = new Harness(t, undefined, undefined, { nowMs: () => nowMs });
+	await harness.makeReady();
+	harness.start(1, 'job');
+	await waitUntil(() => harness.worker.running.size === 1);
+	harness.worker.running.clear();
+	const waitForLists = async (): Promise<void> => {
+		const answeredBefore = harness.worker.answeredHolds;
+		await waitUntil(() => harness.worker.answeredHolds > answeredBefore + 2);
+	};
+	await waitForLists();
+	nowMs += 300;
+	await waitForLists();
+	t.deepEqual(harness.ends(), []);
+	nowMs += 1;
+	await waitUntil(() => harness.ends().length === 1);
+	t.like(harness.ends()[0], { jobId: 'job', end: 'lost' });
+});
+
 test('runs of a worker that stops responding are reported as lost only after its lease has lapsed', async (t) => {
 	const harness = new Harness(t);
 	await harness.makeReady();
