Revert "Entries pass on the cancellings they hear of"

Reverts: each cancelling costs a message from each entry to each other one, which grows with the square of the number of entries; what that costs on the large deployment was not measured. A cancelling that is asked for at an entry that is cut off from just the one that holds the job waits for the reconnection of the two, as before.

--- a/src/dispatch/common/dispatchCore.ts
+++ b/src/dispatch/common/dispatchCore.ts
@@ -265,13 +265,13 @@
 		return this._waitingJobs.size > 0;
 	}
 
-	/** Handles cancellings that another entry tells. Returns those that were not known. */
-	handleCancelledJobs(jobs: readonly CancelledJob[], nowMs: number): readonly CancelledJob[] {
-		const added = jobs.filter((cancelled) => this.cancelledJobs.add(cancelled, nowMs));
-		for (const { jobId } of added) {
-			this.cancel(jobId, 'asked', nowMs);
+	/** Handles cancellings that another entry remembers. */
+	handleCancelledJobs(jobs: readonly CancelledJob[], nowMs: number): void {
+		for (const cancelled of jobs) {
+			if (this.cancelledJobs.add(cancelled, nowMs)) {
+				this.cancel(cancelled.jobId, 'asked', nowMs);
+			}
 		}
-		return added;
 	}
 
 	/** Handles crashes that another entry remembers. */
--- a/src/dispatch/common/dispatchMessages.ts
+++ b/src/dispatch/common/dispatchMessages.ts
@@ -152,7 +152,7 @@
 	readonly jobId: string;
 }
 
-/** Tells another entry cancellings: all that this one remembers when it connects, then those of which it hears. */
+/** Tells another entry the cancellings that this one remembers, when it connects; those that follow are sent one by one. */
 export interface CancelledJobsMessage extends Message {
 	readonly kind: 'cancelledJobs';
 	readonly jobs: readonly CancelledJob[];
--- a/src/dispatch/node/dispatcher.ts
+++ b/src/dispatch/node/dispatcher.ts
@@ -5,7 +5,6 @@
 import type { ILogService, LogFields } from '../../services/log/common/log.js';
 import type { IConnection, Message } from '../../services/transport/common/transport.js';
 import { DispatchCore } from '../common/dispatchCore.js';
-import type { CancelledJob } from '../common/cancelledJobs.js';
 import {
 	isAgentReport,
 	isCancelJob,
@@ -197,10 +196,10 @@
 		const { processId } = connection.peer;
 		connection.onDidReceive((message) => {
 			if (message.kind === 'cancelJob') {
-				this._handleCancelledJobs([{ jobId: readMessage(message, isCancelJob).jobId, agoMs: 0 }]);
+				this._core.cancel(readMessage(message, isCancelJob).jobId, 'asked', this._nowMs());
 			}
 			if (message.kind === 'cancelledJobs') {
-				this._handleCancelledJobs(readMessage(message, isCancelledJobs).jobs);
+				this._core.handleCancelledJobs(readMessage(message, isCancelledJobs).jobs, this._nowMs());
 				this._rejoinHold.handlePeerCaughtUp(processId, connectionId);
 			}
 			if (message.kind === 'workerCrashes') {
@@ -212,16 +211,6 @@
 		});
 	}
 
-	/** Handles cancellings, and passes on those that are new, since the entries that they come from may be cut off from others. */
-	private _handleCancelledJobs(received: readonly CancelledJob[]): void {
-		const jobs = this._core.handleCancelledJobs(received, this._nowMs());
-		if (jobs.length > 0) {
-			const message: CancelledJobsMessage = { kind: 'cancelledJobs', jobs };
-			this._options.broadcastToEntries(message);
-			this._queueSchedule();
-		}
-	}
-
 	private _queueSchedule(): void {
 		if (this._isScheduleQueued) {
 			return;
