--- a/src/dispatch/node/test/crashableWorker.ts
+++ b/src/dispatch/node/test/crashableWorker.ts
@@ -56,6 +56,8 @@
 /** Time that a stop takes; the users' workers need at most as long. */
 const stopMs = 50;
 const holdCheckMs = 3;
+/** Longest lease that a worker grants. */
+const maxLeaseMs = 1000;
 
 export class CrashableWorker extends TaskWorker {
 	private readonly _onDidAnnounce = new Emitter<WorkerAnnouncement>();
@@ -74,7 +76,12 @@
 	private _sequence = 0;
 	private _lastEnd = 0;
 	private _highestToken = 0;
-	private _leaseUntilMs = 0;
+	private _leaseUntilMs = -Infinity;
+	/** Whether connections are reset before an order is read. */
+	isCut = false;
+	/** Clock of the next life minus the steady clock; each life has its own clock. */
+	nextClockOffsetMs = 0;
+	private _clockOffsetMs = 0;
 	private readonly _timer: NodeJS.Timeout;
 
 	constructor(
@@ -148,7 +155,8 @@
 			this._sequence = 0;
 			this._highestToken = 0;
 			this._lastEnd = 0;
-			this._leaseUntilMs = 0;
+			this._leaseUntilMs = -Infinity;
+			this._clockOffsetMs = this.nextClockOffsetMs;
 			this.announce();
 		}, restartMs);
 	}
@@ -158,8 +166,19 @@
 		this._begin(order);
 	}
 
+	private _nowMs(): number {
+		return performance.now() + this._clockOffsetMs;
+	}
+
+	private _extendLease(untilMs: number): void {
+		this._leaseUntilMs = Math.max(this._leaseUntilMs, Math.min(untilMs, this._nowMs() + maxLeaseMs));
+	}
+
 	async start(order: StartOrder): Promise<StartAnswer> {
 		await delay(1);
+		if (this.isCut) {
+			return resetConnection();
+		}
 		if (!this._isUp) {
 			return refuseConnection();
 		}
@@ -171,18 +190,21 @@
 		if ((this._voidRuns.get(key) ?? 0) >= order.run) {
 			return { kind: 'refused', reason: 'olderRun' };
 		}
-		if (order.leaseUntilMs <= performance.now()) {
+		if (order.leaseUntilMs <= this._nowMs()) {
 			return { kind: 'refused', reason: 'leasePast' };
 		}
-		this._leaseUntilMs = Math.max(this._leaseUntilMs, order.leaseUntilMs);
+		this._extendLease(order.leaseUntilMs);
 		if (!this._runs.has(key)) {
 			this._begin(order);
 		}
-		return { kind: 'started', clockMs: performance.now() };
+		return { kind: 'started', clockMs: this._nowMs() };
 	}
 
 	async stop(order: StopOrder): Promise<StopAnswer> {
 		await delay(1);
+		if (this.isCut) {
+			return resetConnection();
+		}
 		if (!this._isUp) {
 			return refuseConnection();
 		}
@@ -198,8 +220,11 @@
 
 	async hold(order: HoldOrder): Promise<HoldAnswer> {
 		await delay(1);
+		if (this.isCut) {
+			return resetConnection();
+		}
 		const untilMs = performance.now() + Math.min(order.waitMs, 30);
-		this._leaseUntilMs = Math.max(this._leaseUntilMs, order.leaseUntilMs ?? 0);
+		this._extendLease(order.leaseUntilMs ?? 0);
 		this._ended = this._ended.filter(({ number }) => number > order.acknowledgedEnd);
 		while (this._isUp && performance.now() < untilMs && this._ended.length === 0) {
 			await delay(holdCheckMs);
@@ -213,7 +238,7 @@
 		this._highestToken = order.fencingToken;
 		return {
 			kind: 'held',
-			clockMs: performance.now(),
+			clockMs: this._nowMs(),
 			bornAtMs: this._bornAtMs,
 			running: [...this._runs.values()].map(({ order: { jobId, taskIndex, run }, script, startedMs }) => ({
 				...{ jobId, taskIndex, run },
@@ -273,7 +298,7 @@
 	}
 
 	private _endLapsedRuns(): void {
-		if (performance.now() > this._leaseUntilMs) {
+		if (this._nowMs() > this._leaseUntilMs) {
 			for (const { order } of [...this._runs.values()]) {
 				this._end(order, 'stopped');
 			}
@@ -298,3 +323,7 @@
 function refuseConnection(): UnansweredOrder {
 	return { kind: 'unanswered', message: 'connect ECONNREFUSED', isConnectionRefused: true };
 }
+
+function resetConnection(): UnansweredOrder {
+	return { kind: 'unanswered', message: 'read ECONNRESET' };
+}
