A renewal does not shorten the lease that a restarted worker may hold

Callers' tasks could run on two workers at once for up to 138 ms. After a restart, runs that the new life has taken hold for as long as a worker grants (1 s); the first renewal replaced that by 0.7 s at the agent, although a worker never shortens a lease. If the worker's connections were reset then, the agent reported the runs as lost before they had ended.

--- a/src/dispatch/common/workerLease.ts
+++ b/src/dispatch/common/workerLease.ts
@@ -55,9 +55,11 @@
 
 	/** Renews the lease. Returns its expiry by the worker's clock. */
 	renew(nowMs: number): number {
-		this._expiresAtMs = nowMs + leaseDurationMs;
+		const untilMs = nowMs + leaseDurationMs;
+		// A worker never shortens a lease.
+		this._expiresAtMs = Math.max(this._expiresAtMs, untilMs);
 		this._expiresAtAnyLifeMs = nowMs + maxWorkerLeaseMs;
-		return Math.floor(this._expiresAtMs + (this._clockOffsetMs ?? 0));
+		return Math.floor(untilMs + (this._clockOffsetMs ?? 0));
 	}
 
 	/**
