A run is not lost while a restarted worker lists another run of its task

Callers' tasks could run on two workers at once: a start that was never answered, and that a restarted worker carried out late, was listed beside the report that the task's last run was lost with the earlier life. The agent freed the task although it saw a run of it at work. Such a run is unclear now, and nothing of a task ends as missing while the worker lists any run of it.

--- a/src/dispatch/node/taskExecutor.ts
+++ b/src/dispatch/node/taskExecutor.ts
@@ -422,13 +422,14 @@
 		const listedKeys = new Set<string>();
 		let unknownRunCount = 0;
 		for (const task of running) {
+			// No run of a task ends as missing while another one of it is at work.
+			listedKeys.add(getTaskKey(task));
 			const run = this._runs.get(task);
 			if (run?.run !== task.run) {
 				unknownRunCount += 1;
 				this._orderSender.stopUnknownRun(task);
 				continue;
 			}
-			listedKeys.add(getTaskKey(run));
 			this._records.recordProgress(run, task);
 		}
 		this._hasUnknownRuns = unknownRunCount > 0;
