Runs that a restarted worker has taken are not among those of the crash

Two crashes fail a job, so a crash must not name a task that goes on. When an announcement, or the refusal of an order, told of the restart, the crash was recorded before the new life had listed its runs, with those that it had taken. The crash is recorded now once the first lists tell, or the lease has lapsed without any. Reporting crashes moves to a class of its own.

--- a/src/dispatch/common/crashRecorder.ts
+++ b/src/dispatch/common/crashRecorder.ts
@@ -15,6 +15,9 @@
 /** What showed a crash. `connectionRefused`: nothing listens at the worker's address. */
 export type CrashEvidence = 'connectionRefused' | 'reborn' | 'otherWorker';
 
+/** What was known of a worker when it crashed. */
+export type CrashedWorker = Pick<KnownWorker, 'announcement' | 'workerId' | 'key'>;
+
 /** Remembers the recent crashes of one agent's worker. */
 export class CrashRecorder {
 	private readonly _crashes: (Omit<WorkerCrash, 'agoMs'> & { readonly atMs: number })[] = [];
@@ -37,7 +40,7 @@
 	 * const crash = crashes.record(worker, runs.all, 'reborn', crashedAtMs, clock.nowMs());
 	 */
 	record(
-		worker: KnownWorker,
+		worker: CrashedWorker,
 		heldRuns: readonly HeldRun[],
 		evidence: CrashEvidence,
 		crashedAtMs: number,
--- a/src/dispatch/node/taskExecutor.ts
+++ b/src/dispatch/node/taskExecutor.ts
@@ -22,7 +22,6 @@
 } from '../common/dispatchMessages.js';
 import { logAnnouncement } from '../common/announcementLog.js';
 import { AnnouncementVerifier, type AcceptedAnnouncement } from './announcementVerifier.js';
-import { CrashRecorder, type CrashEvidence } from '../common/crashRecorder.js';
 import { createHeldRun, type HeldRun, type HeldRuns } from '../common/heldRuns.js';
 import { KnownWorker } from '../common/knownWorker.js';
 import {
@@ -34,12 +33,12 @@
 	type TaskWorker,
 	type WorkerAnnouncement,
 } from '../common/taskWorker.js';
-import { isListed } from '../common/restartedWorker.js';
 import { findRefusalReason } from '../common/startRefusal.js';
 import { WorkerLease } from '../common/workerLease.js';
 import { EntryReporter } from './entryReporter.js';
 import { WorkerPoller, type RunLists, type PollState, type IWorkerPollerHost } from './workerPoller.js';
 import { createWorkerState } from '../common/workerStateReport.js';
+import { CrashReporter } from './crashReporter.js';
 import type { ExecutorOptions, IExecutorHost } from './executorOptions.js';
 import { LostEntryMonitor } from './lostEntryMonitor.js';
 import { RunOrderSender } from './runOrderSender.js';
@@ -55,7 +54,7 @@
 export class TaskExecutor extends Disposable implements IWorkerPollerHost {
 	private readonly _records: RunRecords;
 	private readonly _runs: HeldRuns;
-	private readonly _crashes: CrashRecorder;
+	private readonly _crashes: CrashReporter;
 	private readonly _reporter: EntryReporter;
 	private readonly _lease: WorkerLease;
 	private readonly _orderSender: RunOrderSender;
@@ -81,7 +80,6 @@
 		super();
 		this._executorStartedMs = _options.clock.nowMs();
 		this._lease = new WorkerLease(_options.fencingToken);
-		this._crashes = new CrashRecorder(_options.log);
 		this._orderSender = new RunOrderSender({
 			taskWorker: _taskWorker,
 			lease: this._lease,
@@ -106,6 +104,12 @@
 		);
 		this._records = new RunRecords(this._reporter, _options.clock);
 		this._runs = this._records.runs;
+		this._crashes = new CrashReporter({
+			..._options,
+			worker: this._worker,
+			runs: this._runs,
+			reporter: this._reporter,
+		});
 		this._stopper = new RunStopper({
 			orderSender: this._orderSender,
 			createCurrentCheck: this._createCurrentCheck.bind(this),
@@ -200,7 +204,7 @@
 		this._lostEntries.handleConnected(entryKey);
 		const nowMs = this._nowMs();
 		const missedEnds = this._runs.getRecentEnds(entryKey, nowMs);
-		this._reporter.addConnection(connectionId, entryKey, missedEnds, this._crashes.getAll(nowMs));
+		this._reporter.addConnection(connectionId, entryKey, missedEnds, this._crashes.getAll());
 	}
 
 	/**
@@ -345,7 +349,7 @@
 	handleRunLists(lists: RunLists, sentMs: number): void {
 		const { bornAtMs, clockMs, ended, areEndsComplete, running } = lists;
 		if (this._worker.detectRestart(bornAtMs)) {
-			this._forgetWorker('reborn', lists);
+			this._forgetWorker('reborn');
 			this._worker.detectRestart(bornAtMs);
 		}
 		if (this._lease.updateClockOffset(clockMs, this._nowMs())) {
@@ -354,6 +358,7 @@
 		for (const end of ended) {
 			this._handleEnd(end);
 		}
+		this._crashes.handleLists(lists);
 		this._restartResolver.handleLists(lists, sentMs);
 		this._handleRunning(running, sentMs, areEndsComplete);
 	}
@@ -368,6 +373,7 @@
 
 	handleLeaseLapsed(isConnectionRefused: boolean): void {
 		const nowMs = this._nowMs();
+		this._crashes.handleLists({ running: [], ended: [] });
 		const haveAllEnded = isConnectionRefused || this._lease.hasLapsedAtAnyLife(nowMs);
 		this._records.endLostRuns(haveAllEnded ? 'all' : 'listed');
 		if (this._worker.hasLeft && this._runs.size === 0) {
@@ -392,18 +398,7 @@
 			this._records.endLostRuns('all');
 			return;
 		}
-		this._recordCrash('connectionRefused', sinceMs);
-	}
-
-	private _recordCrash(
-		evidence: CrashEvidence,
-		crashedAtMs: number,
-		runs: readonly HeldRun[] = this._runs.all,
-	): void {
-		const crash = this._crashes.record(this._worker, runs, evidence, crashedAtMs, this._nowMs());
-		if (crash !== undefined) {
-			this._reporter.reportCrash(crash);
-		}
+		this._crashes.handleConnectionRefused(sinceMs);
 	}
 
 	private _handleEnd(end: EndedTask): void {
@@ -444,16 +439,16 @@
 	 * Forgets the worker until it announces itself again. Its runs are kept until the next lists, since its new life may have taken
 	 * some of them already.
 	 */
-	private _forgetWorker(cause: 'left' | 'otherWorker' | 'reborn', lists?: RunLists): void {
-		const workerId = this._worker.announcement?.workerId;
+	private _forgetWorker(cause: 'left' | 'otherWorker' | 'reborn'): void {
 		const nowMs = this._nowMs();
+		const { announcement, key } = this._worker;
 		if (cause !== 'left') {
-			const earlierRuns = this._runs.all.filter((run) => lists === undefined || !isListed(run, lists));
-			this._recordCrash(cause, this._poller.unansweredSinceMs ?? nowMs, earlierRuns);
+			this._crashes.handleRestart(cause, this._poller.unansweredSinceMs ?? nowMs);
 		}
 		const runs = this._runs.all.map((run) => `${describeRun(run)} ${run.phase}`);
-		const { key: workerKey } = this._worker;
-		this._options.log.warn('worker.lost', { workerId, workerKey, cause, runCount: runs.length, runs });
+		this._options.log.warn('worker.lost', {
+			...{ workerId: announcement?.workerId, workerKey: key, cause, runCount: runs.length, runs },
+		});
 		this._worker.discard();
 		this._acknowledgedEnd = 0;
 		this._hasUnknownRuns = false;
