Polls after a late answer acknowledge no ends, and refused polls count as unanswered

An agent that read the last answer of a worker's earlier life late acknowledged ends of the new life by that life's numbers; a task that had been done was reported as lost. Now a poll after a late answer acknowledges nothing and asks for the lists at once, as after a missing one; of two polls in a row one acknowledges, since a worker lists a limited number of ends. A poll that a worker refuses, other than for its token or identity, lists nothing and renews no lease, but counted neither as answered nor as unanswered, so that the lapse of the lease went unnoticed while it lasted (read in the code, no run).

--- a/src/dispatch/node/workerPoller.ts
+++ b/src/dispatch/node/workerPoller.ts
@@ -15,6 +15,9 @@
 /** Number of consecutive unanswered polls after which the worker counts as not responding. */
 const unansweredPollLimit = 2;
 
+/** Time beyond the wait of a poll from which on its answer is late. */
+const lateAnswerMs = 100;
+
 /** Answer of a worker that lists its running and ended runs. */
 export type RunLists = Extract<HoldAnswer, { kind: 'held' }>;
 
@@ -64,6 +67,7 @@
 	private _unansweredPolls = 0;
 	private _unansweredSinceMs: number | undefined;
 	private _isResponding = false;
+	private _wasLastAnswerLate = false;
 
 	constructor(
 		private readonly _host: IWorkerPollerHost,
@@ -110,15 +114,17 @@
 		const shouldRenew = hasRuns && lease.isClockKnown && this._unansweredPolls < unansweredPollLimit;
 		const leaseUntilMs = shouldRenew ? lease.renew(sentMs) : undefined;
 		const waitMs = hasRuns ? busyPollWaitMs : idlePollWaitMs;
-		// A worker that has not answered may have restarted; its numbers of ends then count from 1 again.
-		const seenEnd = this._unansweredPolls > 0 ? 0 : acknowledgedEnd;
+		// A worker that has not answered, or long ago, may have restarted; its numbers of ends then count from 1 again.
+		const mayHaveRestarted = this._unansweredPolls > 0 || this._wasLastAnswerLate;
 		const answer = await taskWorker.hold({
 			...this._host.getOrderContext(),
 			leaseUntilMs,
-			acknowledgedEnd: seenEnd,
-			// The first poll only reads the worker's clock, so the worker does not wait.
-			waitMs: lease.isClockKnown ? waitMs : 0,
+			acknowledgedEnd: mayHaveRestarted ? 0 : acknowledgedEnd,
+			// The first poll only reads the worker's clock and birth, so the worker does not wait.
+			waitMs: lease.isClockKnown && !mayHaveRestarted ? waitMs : 0,
 		});
+		// Of two polls in a row, one acknowledges ends: a worker lists a limited number of them.
+		this._wasLastAnswerLate = !mayHaveRestarted && clock.nowMs() - sentMs > waitMs + lateAnswerMs;
 		if (incarnation === this._host.getPollState().incarnation) {
 			await this._handleAnswer(answer, sentMs);
 		}
@@ -138,10 +144,14 @@
 		}
 		if (answer.kind === 'refused' && answer.reason === 'otherWorker') {
 			this._host.handleWorkerReplaced();
-		}
-		if (answer.kind === 'unanswered') {
+		} else {
+			// A refusal for another reason lists no runs and renews no lease, as a missing answer.
+			const unanswered: UnansweredOrder =
+				answer.kind === 'unanswered'
+					? answer
+					: { kind: 'unanswered', message: `The worker refused the poll: ${answer.reason}.` };
 			this._unansweredSinceMs ??= this._services.clock.nowMs();
-			this._handleUnansweredPoll(answer, this._unansweredSinceMs);
+			this._handleUnansweredPoll(unanswered, this._unansweredSinceMs);
 		}
 		await new Promise((resolve) => setTimeout(resolve, retryDelayMs));
 	}
