--- a/src/dispatch/common/jobRegistry.ts
+++ b/src/dispatch/common/jobRegistry.ts
@@ -175,7 +175,7 @@
 			const start = { jobId: job.request.jobId, taskIndex, run, startId };
 			const known = agents.get(agentId);
 			const agent = known?.runs.has(getTaskKey(start)) === true ? known : undefined;
-			// Runs in doubt may be at an earlier incarnation of the agent.
+			// Runs with the phase `inDoubt` may be at an earlier incarnation of the agent.
 			if (agent !== undefined || phase === 'inDoubt') {
 				endingRuns.add({ start, agentId, agent }, nowMs, phase === 'inDoubt' ? inDoubtUntilMs : undefined);
 			}
--- a/src/dispatch/node/runRecords.ts
+++ b/src/dispatch/node/runRecords.ts
@@ -20,7 +20,7 @@
 	scheduleStateReports(): void;
 }
 
-/** A refused start of which the entry is told once the task's held run has ended. */
+/** A refused start that is reported to the entry once the task's held run has ended. */
 interface DeferredRefusal {
 	readonly entryKey: string;
 	readonly start: TaskStartRef;
--- a/src/dispatch/node/test/restartedWorker.test.ts
+++ b/src/dispatch/node/test/restartedWorker.test.ts
@@ -1,6 +1,6 @@
 /** A worker that restarts under its ID takes starts before its agent knows of the restart. */
 
-import { serialUnlessKnownRed } from '../../../base/test/knownRed.js';
+import test from 'ava';
 import { findConcurrentRuns } from './concurrentRuns.js';
 import { MemorySystem, waitUntil } from './memorySystem.js';
 
@@ -11,7 +11,7 @@
 const restartMs = 30;
 
 // Guards against runs of the new life that are reported as lost, and started elsewhere, while they are at work.
-serialUnlessKnownRed(
+test.serial(
 	'starts that a restarted worker takes from an agent that was paused do not run twice',
 	async (t) => {
 		const system = new MemorySystem(t, {
--- a/src/dispatch/node/test/taskExecutor.test.ts
+++ b/src/dispatch/node/test/taskExecutor.test.ts
@@ -5,7 +5,6 @@
 
 import test from 'ava';
 import { monotonicClock, type IClock } from '../../../base/common/clock.js';
-import { serialUnlessKnownRed } from '../../../base/test/knownRed.js';
 import type { WorkerAnnouncement } from '../../common/taskWorker.js';
 import { leaseDurationMs } from '../../common/workerLease.js';
 import { reconnectGraceMs } from '../lostEntryMonitor.js';
@@ -286,7 +285,7 @@
 });
 
 // Guards against a report that a run is lost while it is at work, so that its task is started elsewhere meanwhile.
-serialUnlessKnownRed(
+test.serial(
 	'runs that a worker has taken since it restarted continue when the agent learns of the restart',
 	async (t) => {
 		const harness = new Harness(t);
